Lay out the packages, their public headers and the check

Cause: nothing stands yet, and parts are to be built side by side. Change: value types, ports, core interfaces, build, format, lint and test scripts.

--- /dev/null
+++ b/packages/entry/include/crocuswood/entry.h
@@ -0,0 +1,228 @@
+/// \file
+/// Public header of the package entry: the decision core of an entry.
+///
+/// The core is a state machine. It has no sockets, clocks, threads, random
+/// source or logging; its caller feeds it events with the current time and
+/// carries out the actions it returns.
+#pragma once
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// Names of the placement policies that options::Policy accepts.
+enum class policy_kind : std::uint8_t {
+  Crocuswood, ///< The product's policy.
+  Random,     ///< Baselines for comparison.
+  RoundRobin,
+  LeastOutstanding,
+  TwoChoices,
+};
+
+/// Settings of the core. Spans of time are named for what they bound.
+struct options {
+  process_id Self;
+  std::string Zone;
+  std::uint64_t Seed = 0; ///< Of the core's own generator.
+  policy_kind Policy = policy_kind::Crocuswood;
+  duration HeartbeatInterval = std::chrono::milliseconds(500);
+  duration SilenceLimit =
+      std::chrono::seconds(2); ///< A link silent for longer is closed.
+  duration LossLimit =
+      std::chrono::seconds(10); ///< A companion without a link for longer is
+                                ///< lost; its tasks may have run.
+  std::uint32_t MaxOutstandingTasks = 200'000; ///< Admission stops there.
+  duration ClaimLimit =
+      std::chrono::seconds(5); ///< A claim unconfirmed for longer is refused.
+};
+
+// Events.
+
+/// A caller has submitted a job.
+struct job_submitted {
+  request_id Request{};
+  job_request Job;
+};
+/// The caller has cancelled, or its connection is gone.
+struct job_cancelled {
+  request_id Request{};
+  bool CallerGone = false; ///< Nobody waits for the answer.
+};
+/// A companion has connected. Its hello is the first envelope.
+struct link_opened {
+  link_id Link{};
+};
+struct envelope_received {
+  link_id Link{};
+  std::vector<peer_message> Messages;
+};
+struct link_closed {
+  link_id Link{};
+  std::string Reason;
+};
+/// The platform duty has read a configuration, or an operator's change was
+/// accepted.
+struct configuration_read {
+  configuration Configuration;
+};
+/// The platform duty has read the list of entries.
+struct entries_read {
+  std::vector<peer_address> Entries;
+};
+/// How the insertion of a claim row ended.
+enum class claim_status : std::uint8_t {
+  Confirmed, ///< This attempt holds the claim.
+  Held,      ///< Another attempt holds it, or held it.
+  Refused,   ///< The service is down or refused; the row was certainly not
+             ///< inserted.
+  Unknown,   ///< Not settled within the time limit; the row may have been
+             ///< inserted.
+};
+struct claim_answered {
+  job_id Job;
+  claim_status Status = claim_status::Unknown;
+  std::uint64_t HolderDigest =
+      0; ///< When Held: digest of the holder's request.
+  std::optional<job_outcome> HolderOutcome; ///< When Held and stored.
+};
+/// The outcome of a claimed job has been stored, or could not be.
+struct claim_settled {
+  job_id Job;
+  bool Stored = false;
+};
+/// A wake-up asked for by wake_at, or any later time.
+struct timer_expired {};
+/// Planned stop: finish what was accepted and take nothing new.
+struct stop_requested {};
+
+using event =
+    std::variant<job_submitted, job_cancelled, link_opened, envelope_received,
+                 link_closed, configuration_read, entries_read, claim_answered,
+                 claim_settled, timer_expired, stop_requested>;
+
+// Actions.
+
+/// Sends the one answer of a request.
+struct answer_caller {
+  request_id Request{};
+  job_answer Answer;
+};
+/// Sends messages together as one envelope.
+struct send_messages {
+  link_id Link{};
+  std::vector<peer_message> Messages;
+};
+struct close_link {
+  link_id Link{};
+  std::string Reason;
+};
+/// Inserts the claim row of a job whose class is not idempotent. Answered by
+/// claim_answered.
+struct ask_claim {
+  job_id Job; ///< Also the token of this attempt.
+  std::string Team;
+  std::string Key;
+  std::uint64_t RequestDigest = 0;
+};
+/// Stores the outcome of a claimed job. Answered by claim_settled. The caller
+/// is answered without waiting for it.
+struct settle_claim {
+  job_id Job;
+  std::string Team;
+  std::string Key;
+  std::uint64_t RequestDigest = 0;
+  job_outcome Outcome;
+};
+/// Asks for timer_expired at \p At. Replaces an earlier wake_at.
+struct wake_at {
+  instant At;
+};
+/// A configuration with a greater revision is in force; others may be told.
+struct configuration_adopted {
+  configuration Configuration;
+};
+struct record_event {
+  timeline_event Event;
+};
+/// Everything accepted has ended and a stop was requested; the process may
+/// exit.
+struct stop_finished {};
+
+using action = std::variant<answer_caller, send_messages, close_link, ask_claim,
+                            settle_claim, wake_at, configuration_adopted,
+                            record_event, stop_finished>;
+
+// Status.
+
+/// A companion as an entry sees it.
+struct companion_status {
+  std::string Name;
+  std::string Zone;
+  bool Linked = false;
+  bool SetAside = false;
+  endpoint_report Endpoint;
+  companion_load Load;
+  std::uint32_t Outstanding = 0; ///< Tasks of this entry on it.
+};
+
+/// Counters of a class since the start of the process.
+struct class_status {
+  std::uint64_t Accepted = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Completed = 0;
+  std::uint64_t Failed = 0;
+  std::uint64_t Missed = 0; ///< Answered later than the target.
+  std::uint32_t WaitingTasks = 0;
+  std::uint32_t PlacedTasks = 0;
+};
+
+struct status {
+  bool Ready = false; ///< Has a configuration and a serving endpoint, and is
+                      ///< not stopping.
+  bool Stopping = false;
+  std::uint64_t ConfigurationRevision = 0;
+  std::uint64_t WastedMessages =
+      0; ///< Carried neither a start nor a result that was used.
+  std::uint64_t SentMessages = 0;
+  std::uint64_t ReceivedMessages = 0;
+  std::uint64_t Heartbeats =
+      0; ///< Sent and received; not among the messages above.
+  std::map<std::string, class_status> Classes;
+  std::vector<companion_status> Companions; ///< Ordered by name.
+};
+
+/// The decision core: admission, ordering, placement, withdrawal, health,
+/// quotas, claims and job assembly.
+class core {
+public:
+  explicit core(options Options);
+  ~core();
+  core(core &&) noexcept;
+  core &operator=(core &&) noexcept;
+
+  /// Takes one event and appends the actions that follow from it to \p Actions.
+  /// Several events may be handled before flush().
+  void handle(instant Now, event Event, std::vector<action> &Actions);
+
+  /// Appends the messages gathered since the last flush, one send_messages for
+  /// each link.
+  void flush(instant Now, std::vector<action> &Actions);
+
+  status getStatus() const;
+  const configuration &getConfiguration() const;
+  std::vector<peer_address> getEntries() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/http/include/crocuswood/http.h
@@ -0,0 +1,189 @@
+/// \file
+/// Public header of the package http: adapters on Boost.Beast for callers,
+/// operators, endpoints and the platform. Single-threaded: every call is made
+/// on the thread that runs the object's context, which must outlive the object.
+#pragma once
+
+#include <crocuswood/companion.h>
+#include <crocuswood/model.h>
+#include <crocuswood/ports.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace crocuswood::http {
+
+/// Bounds of every server.
+struct server_limits {
+  std::uint32_t MaxConnections = 1'024;
+  std::uint32_t MaxBodyBytes = 8U * 1024 * 1024;
+  std::uint32_t MaxHeaderBytes = 16U * 1024;
+  std::uint32_t MaxPipelined =
+      64; ///< Requests of one connection that may wait for answers.
+  duration IdleLimit = std::chrono::seconds(60);
+};
+
+// Callers.
+
+/// Parses the body of `POST /v1/jobs`; every fault with its place.
+checked<job_request> parseJobRequest(std::string_view Body);
+/// \returns the JSON body of an answer.
+std::string writeJobAnswer(const job_answer &Answer);
+/// \returns the HTTP status that goes with an outcome.
+unsigned statusOf(const job_outcome &Outcome);
+
+/// Receives what callers ask for.
+class caller_events {
+public:
+  virtual ~caller_events() = default;
+  /// \returns false when the decisions can't take it now; the caller is told
+  /// `not_run`.
+  virtual bool jobSubmitted(request_id Request, job_request Job) = 0;
+  /// The caller sent DELETE or closed its connection. For DELETE the answer is
+  /// still due.
+  virtual void jobCancelled(request_id Request, bool CallerGone) = 0;
+};
+
+/// Serves `POST /v1/jobs` and `DELETE /v1/jobs/REFERENCE`, where REFERENCE is
+/// the value of the request header `Crocuswood-Reference` of the submission.
+/// Answers of one connection are written in the order of its requests.
+class caller_front {
+public:
+  caller_front(boost::asio::io_context &Context, server_limits Limits,
+               caller_events &Events);
+  ~caller_front();
+  checked<std::uint16_t> listen(const peer_address &Address);
+  /// Writes the answer of \p Request. Unknown requests are ignored: their
+  /// caller is gone. \returns whether a caller was still there.
+  bool answer(request_id Request, const job_answer &Answer);
+  /// Accepts no connection more, and answers new requests on open ones with
+  /// `stopping`.
+  void stopAccepting();
+  /// Calls \p Done when every answer has been written and every connection is
+  /// closed.
+  void drain(std::function<void()> Done);
+  std::uint32_t getConnections() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+// Operators and announcements: small servers with a handler for each request.
+
+/// A request as a handler sees it.
+struct plain_request {
+  std::string Method; ///< Upper case.
+  std::string Path;   ///< Decoded, without the query.
+  std::map<std::string, std::string> Query;
+  std::map<std::string, std::string> Headers; ///< Names in lower case.
+  std::string Body;
+};
+
+struct plain_response {
+  unsigned Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+  std::map<std::string, std::string> Headers;
+};
+
+/// Serves requests by a handler, which may respond later, once, on the same
+/// thread.
+class plain_server {
+public:
+  using respond = std::function<void(plain_response)>;
+  using handler = std::function<void(plain_request, respond)>;
+
+  plain_server(boost::asio::io_context &Context, server_limits Limits,
+               handler Handler);
+  ~plain_server();
+  checked<std::uint16_t> listen(const peer_address &Address);
+  void stopAccepting();
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+/// Parses the body of `POST /v1/announce`; every fault with its place.
+checked<companion::endpoint_announcement>
+parseAnnouncement(std::string_view Body);
+
+// Clients.
+
+/// Outcome of one request to another server.
+struct plain_reply {
+  enum class kind : std::uint8_t {
+    Answered,   ///< `Response` is filled.
+    NotWritten, ///< Nothing was written to the server.
+    Lost,       ///< Written, wholly or in part, and no whole answer came.
+  };
+  kind Kind = kind::NotWritten;
+  plain_response Response;
+  std::string Reason;
+};
+
+/// A client with a pool of kept-alive connections to each server.
+class plain_client {
+public:
+  plain_client(boost::asio::io_context &Context,
+               std::uint32_t MaxConnectionsPerServer, duration TimeLimit);
+  ~plain_client();
+  /// Sends \p Request. A kept connection that closes before any byte of the
+  /// answer counts as Lost: it is never retried here.
+  void send(const peer_address &Server, plain_request Request,
+            std::function<void(plain_reply)> Done);
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+/// Runs tasks by `POST /v1/run` on an endpoint and stops them by `DELETE
+/// /v1/run/TASK`.
+class endpoint_client : public endpoint_port {
+public:
+  endpoint_client(boost::asio::io_context &Context, duration TimeLimit);
+  ~endpoint_client() override;
+  void run(const peer_address &Endpoint, endpoint_call Call,
+           std::function<void(endpoint_outcome)> Done) override;
+  void stop(const peer_address &Endpoint, const task_id &Task) override;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+/// The table service and object store over HTTP with conditional requests (RFC
+/// 9110).
+class platform_client : public table_service, public object_store {
+public:
+  platform_client(boost::asio::io_context &Context, peer_address Platform,
+                  duration TimeLimit);
+  ~platform_client() override;
+  void read(const std::string &Key,
+            std::function<void(read_outcome)> Done) override;
+  void readRange(const std::string &Prefix,
+                 std::function<void(range_outcome)> Done) override;
+  void write(std::vector<row_write> Writes,
+             std::function<void(std::vector<write_outcome>)> Done) override;
+  void put(const std::string &Name, std::string Bytes,
+           std::function<void(store_status)> Done) override;
+  void get(const std::string &Name,
+           std::function<void(store_status, std::optional<std::string>)> Done)
+      override;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace crocuswood::http
--- /dev/null
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -0,0 +1,263 @@
+/// \file
+/// Messages between entries and companions. A span in a message counts from its
+/// sending.
+#pragma once
+
+#include <crocuswood/model/configuration.h>
+#include <crocuswood/model/ids.h>
+#include <crocuswood/model/payload.h>
+#include <crocuswood/model/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocuswood {
+
+/// Version of the messages below. Peers with different versions refuse the
+/// link.
+constexpr std::uint32_t PeerProtocolVersion = 1;
+
+/// How a peer process is reached.
+struct peer_address {
+  std::string Host; ///< An IP number.
+  std::uint16_t Port = 0;
+
+  friend auto operator<=>(const peer_address &, const peer_address &) = default;
+};
+
+/// Whether the endpoint beside a companion takes work.
+enum class endpoint_state : std::uint8_t {
+  Absent,  ///< No endpoint has announced itself, or it fell silent.
+  Serving, ///< Takes work.
+  Leaving, ///< Finishes what has started and takes nothing new.
+};
+
+/// What an endpoint offers. A companion sends it whenever it changes.
+struct endpoint_report {
+  endpoint_state State = endpoint_state::Absent;
+  std::vector<std::string> Classes; ///< Classes that it runs.
+  std::uint32_t Slots = 0;          ///< Tasks that it runs at the same time.
+  std::uint64_t MemoryBytes = 0;    ///< Memory for all slots together.
+  std::uint32_t Accelerators = 0;   ///< Accelerators for all slots together.
+
+  friend auto operator<=>(const endpoint_report &,
+                          const endpoint_report &) = default;
+};
+
+/// Load of a companion over all entries.
+struct companion_load {
+  std::uint64_t Sequence =
+      0; ///< Grows with every change; a smaller one is outdated.
+  std::uint32_t Running = 0; ///< Slots in use, orphaned tasks included.
+  std::uint32_t Queued = 0;  ///< Tasks waiting for a slot.
+  duration QueuedRunTime{}; ///< Expected run time of the queued tasks together.
+
+  friend auto operator<=>(const companion_load &,
+                          const companion_load &) = default;
+};
+
+/// First message of a companion on a link.
+struct companion_hello {
+  std::uint32_t Version = PeerProtocolVersion;
+  process_id Companion;
+  std::string Zone; ///< Availability zone.
+  std::uint64_t ConfigurationRevision = 0;
+  endpoint_report Endpoint;
+  companion_load Load;
+
+  friend bool operator==(const companion_hello &,
+                         const companion_hello &) = default;
+};
+
+/// First message of an entry on a link.
+struct entry_hello {
+  std::uint32_t Version = PeerProtocolVersion;
+  process_id Entry;
+  std::string Zone; ///< Availability zone.
+  std::uint64_t ConfigurationRevision = 0;
+  std::vector<peer_address>
+      KnownEntries; ///< Addresses of all entries, its own included.
+
+  friend bool operator==(const entry_hello &, const entry_hello &) = default;
+};
+
+/// Sent when nothing else has been sent for a heartbeat interval.
+struct entry_heartbeat {
+  std::uint64_t ConfigurationRevision = 0;
+  std::uint64_t KnownEntriesDigest =
+      0;                 ///< Changes when the list of entries changes.
+  bool Stopping = false; ///< The entry shuts down and places nothing new.
+
+  friend bool operator==(const entry_heartbeat &,
+                         const entry_heartbeat &) = default;
+};
+
+/// Sent when nothing else has been sent for a heartbeat interval.
+struct companion_heartbeat {
+  std::uint64_t ConfigurationRevision = 0;
+  companion_load Load;
+  std::uint32_t Entries =
+      0; ///< Entries that this companion has a live link to.
+
+  friend bool operator==(const companion_heartbeat &,
+                         const companion_heartbeat &) = default;
+};
+
+/// The list of entries has changed.
+struct entry_list {
+  std::vector<peer_address> Entries;
+
+  friend bool operator==(const entry_list &, const entry_list &) = default;
+};
+
+/// Brings a peer with a smaller revision up to date.
+struct configuration_push {
+  configuration Configuration;
+
+  friend bool operator==(const configuration_push &,
+                         const configuration_push &) = default;
+};
+
+/// Asks a companion to run a task.
+struct place_task {
+  task_id Task;
+  std::string Class;
+  payload Input;
+  duration Slack{}; ///< Time left until the task must start to meet its target.
+  duration ExpectedRunTime{}; ///< The entry's estimate.
+  std::optional<duration>
+      Deadline; ///< After this the task must not start any more.
+
+  friend bool operator==(const place_task &, const place_task &) = default;
+};
+
+/// The endpoint ran the task to its end.
+struct task_completed {
+  payload Output;
+  duration RunTime{};
+
+  friend bool operator==(const task_completed &,
+                         const task_completed &) = default;
+};
+
+/// The endpoint started the task and reported a failure.
+struct task_failed {
+  std::string Reason;
+  duration RunTime{};
+
+  friend bool operator==(const task_failed &, const task_failed &) = default;
+};
+
+/// Why a companion gives a task back.
+enum class not_started_reason : std::uint8_t {
+  Withdrawn,   ///< The entry asked for it.
+  Full,        ///< The queue had no room.
+  Leaving,     ///< The endpoint is leaving or absent.
+  Unreachable, ///< No connection to the endpoint could be opened.
+  Unsupported, ///< The endpoint does not run this class or lacks what it needs.
+  DeadlinePassed, ///< The deadline passed in the queue.
+  Unknown, ///< The companion has never received the task and now never will run
+           ///< it.
+};
+
+/// \returns the reason in snake case.
+std::string toString(not_started_reason Reason);
+
+/// Proof that the task did not start and will not start on this companion.
+struct task_not_started {
+  not_started_reason Reason = not_started_reason::Withdrawn;
+
+  friend bool operator==(const task_not_started &,
+                         const task_not_started &) = default;
+};
+
+/// The task started, and its end is not known and never will be.
+struct task_lost {
+  std::string Reason;
+
+  friend bool operator==(const task_lost &, const task_lost &) = default;
+};
+
+using task_end =
+    std::variant<task_completed, task_failed, task_not_started, task_lost>;
+
+/// A companion's last word on a task. It is kept until acknowledged.
+struct task_ended {
+  task_id Task;
+  task_end End;
+  companion_load Load; ///< After this end.
+
+  friend bool operator==(const task_ended &, const task_ended &) = default;
+};
+
+/// Asks for queued tasks back, and for running ones to be stopped where the
+/// endpoint can.
+struct withdraw_tasks {
+  std::vector<task_id> Tasks;
+
+  friend bool operator==(const withdraw_tasks &,
+                         const withdraw_tasks &) = default;
+};
+
+/// The companion may forget these ends.
+struct acknowledge_ends {
+  std::vector<task_id> Tasks;
+
+  friend bool operator==(const acknowledge_ends &,
+                         const acknowledge_ends &) = default;
+};
+
+/// Sent by an entry on a new link to a companion with outstanding tasks.
+struct resume_request {
+  std::vector<task_id> Outstanding;
+
+  friend bool operator==(const resume_request &,
+                         const resume_request &) = default;
+};
+
+/// Where a companion has a task that is not at its end.
+enum class task_place : std::uint8_t { Queued, Running };
+
+struct task_standing {
+  task_id Task;
+  task_place Place = task_place::Queued;
+
+  friend bool operator==(const task_standing &,
+                         const task_standing &) = default;
+};
+
+/// Answers resume_request for tasks not at their end; for the others task_ended
+/// follows.
+struct resume_reply {
+  std::vector<task_standing> Standing;
+
+  friend bool operator==(const resume_reply &, const resume_reply &) = default;
+};
+
+/// The load has changed; sent to entries that would not hear of it otherwise.
+struct load_report {
+  companion_load Load;
+
+  friend bool operator==(const load_report &, const load_report &) = default;
+};
+
+using peer_message =
+    std::variant<companion_hello, entry_hello, companion_heartbeat,
+                 entry_heartbeat, entry_list, configuration_push,
+                 endpoint_report, place_task, task_ended, withdraw_tasks,
+                 acknowledge_ends, resume_request, resume_reply, load_report>;
+
+/// Several messages written together, with the sender's hybrid time.
+struct peer_envelope {
+  hybrid_time Sent;
+  std::vector<peer_message> Messages;
+
+  friend bool operator==(const peer_envelope &,
+                         const peer_envelope &) = default;
+};
+
+} // namespace crocuswood
--- /dev/null
+++ b/packages/model/src/timeline_event.cpp
@@ -0,0 +1,70 @@
+#include "name_table.h"
+
+#include <crocuswood/model.h>
+
+namespace crocuswood {
+
+namespace {
+
+// In the order of event_kind.
+constexpr std::array<std::string_view, 45> KindNames = {
+    "process_started",
+    "process_stopping",
+    "process_stopped",
+    "job_submitted",
+    "job_refused",
+    "job_accepted",
+    "job_completed",
+    "job_failed",
+    "answer_sent",
+    "answer_dropped",
+    "cancel_asked",
+    "task_placed",
+    "task_withdrawn",
+    "task_returned",
+    "task_result_taken",
+    "task_result_stale",
+    "task_uncertain",
+    "task_queued",
+    "task_duplicate",
+    "task_started",
+    "task_ended",
+    "task_failed",
+    "task_not_started",
+    "task_lost",
+    "endpoint_ran",
+    "link_opened",
+    "link_silent",
+    "link_closed",
+    "link_resumed",
+    "peer_replaced",
+    "endpoint_announced",
+    "endpoint_leaving",
+    "endpoint_gone",
+    "endpoint_set_aside",
+    "endpoint_restored",
+    "claim_asked",
+    "claim_confirmed",
+    "claim_held",
+    "claim_unknown",
+    "claim_settled",
+    "configuration_accepted",
+    "configuration_in_force",
+    "configuration_ignored",
+    "store_down",
+    "store_up",
+};
+static_assert(KindNames.size() ==
+              static_cast<std::size_t>(event_kind::StoreUp) + 1);
+
+} // namespace
+
+std::string_view toString(event_kind Kind) {
+  return KindNames.at(static_cast<std::size_t>(Kind));
+}
+
+std::optional<event_kind> parseEventKind(std::string_view Text) {
+  return findName<event_kind>(KindNames, Text);
+}
+
+} // namespace crocuswood
--- /dev/null
+++ b/packages/ports/include/crocuswood/ports.h
@@ -0,0 +1,177 @@
+/// \file
+/// Public header of the package ports: interfaces between the decision cores'
+/// duties and the adapters that talk to the outside. Every call is made on the
+/// owning duty's thread, and callbacks come back on that thread.
+#pragma once
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace crocuswood {
+
+/// Source of time for a process.
+class clock_port {
+public:
+  virtual ~clock_port() = default;
+  /// \returns time that never goes back; starts near the wall clock.
+  virtual instant now() const = 0;
+  /// \returns microseconds since the Unix epoch; may jump.
+  virtual std::int64_t wallMicroseconds() const = 0;
+};
+
+/// Receives what happens on links.
+class link_events {
+public:
+  virtual ~link_events() = default;
+  virtual void linkOpened(link_id Link, const peer_address &Remote) = 0;
+  /// \p Envelope has arrived. Undecodable input closes the link instead.
+  virtual void envelopeReceived(link_id Link, peer_envelope Envelope) = 0;
+  /// The link is gone, or a dial has failed. No further event names \p Link.
+  virtual void linkClosed(link_id Link, const std::string &Reason) = 0;
+};
+
+/// Sends over links.
+class link_port {
+public:
+  virtual ~link_port() = default;
+  /// Opens a link to \p Remote under the id \p Link, chosen by the caller. Ends
+  /// in linkOpened() or linkClosed().
+  virtual void dial(link_id Link, const peer_address &Remote) = 0;
+  /// Writes \p Envelope. Unknown links are ignored: their linkClosed() is on
+  /// its way.
+  virtual void send(link_id Link, const peer_envelope &Envelope) = 0;
+  /// Closes at once. linkClosed() does not follow.
+  virtual void close(link_id Link) = 0;
+};
+
+/// How a call to the platform ended.
+enum class store_status : std::uint8_t {
+  Done,     ///< It took effect, or the row was read.
+  Conflict, ///< The condition did not hold; nothing changed.
+  Refused,  ///< The service refused it; nothing changed.
+  Unknown,  ///< No usable answer: it may or may not have taken effect.
+};
+
+/// Condition of a write.
+struct write_condition {
+  enum class kind : std::uint8_t { Always, IfAbsent, IfVersion };
+  kind Kind = kind::Always;
+  std::string Version; ///< For IfVersion: as read before.
+
+  friend bool operator==(const write_condition &,
+                         const write_condition &) = default;
+};
+
+/// One conditional write of a row.
+struct row_write {
+  std::string Key;                  ///< Table and row, such as `claims/KEY`.
+  std::optional<std::string> Value; ///< Nothing deletes the row.
+  write_condition Condition;
+
+  friend bool operator==(const row_write &, const row_write &) = default;
+};
+
+/// A row and its version.
+struct row {
+  std::string Key;
+  std::string Value;
+  std::string Version;
+
+  friend bool operator==(const row &, const row &) = default;
+};
+
+/// Done with an empty `Row` means that the row does not exist.
+struct read_outcome {
+  store_status Status = store_status::Unknown;
+  std::optional<row> Row;
+};
+
+struct range_outcome {
+  store_status Status = store_status::Unknown;
+  std::vector<row> Rows; ///< Ordered by key.
+};
+
+struct write_outcome {
+  store_status Status = store_status::Unknown;
+  std::string Version; ///< Of the row after the write, when Done.
+};
+
+/// The platform's transactional table service. Every call ends within its time
+/// limit.
+class table_service {
+public:
+  virtual ~table_service() = default;
+  virtual void read(const std::string &Key,
+                    std::function<void(read_outcome)> Done) = 0;
+  virtual void readRange(const std::string &Prefix,
+                         std::function<void(range_outcome)> Done) = 0;
+  /// Applies each write by itself; one request to the service for all of them.
+  /// \p Done gets one outcome for each write, in order.
+  virtual void write(std::vector<row_write> Writes,
+                     std::function<void(std::vector<write_outcome>)> Done) = 0;
+};
+
+/// The platform's object store.
+class object_store {
+public:
+  virtual ~object_store() = default;
+  virtual void put(const std::string &Name, std::string Bytes,
+                   std::function<void(store_status)> Done) = 0;
+  virtual void
+  get(const std::string &Name,
+      std::function<void(store_status, std::optional<std::string>)> Done) = 0;
+};
+
+/// A task as it is handed to an endpoint.
+struct endpoint_call {
+  task_id Task;
+  std::string Class;
+  payload Input;
+};
+
+/// How a call to an endpoint ended.
+struct endpoint_completed {
+  payload Output;
+};
+/// The endpoint answered that the task failed.
+struct endpoint_failed {
+  std::string Reason;
+};
+/// Nothing was written to the endpoint, so the task has not run.
+struct endpoint_not_reached {
+  std::string Reason;
+};
+/// The connection was lost after the call had been written.
+struct endpoint_lost {
+  std::string Reason;
+};
+using endpoint_outcome = std::variant<endpoint_completed, endpoint_failed,
+                                      endpoint_not_reached, endpoint_lost>;
+
+/// Runs tasks on the endpoint beside a companion.
+class endpoint_port {
+public:
+  virtual ~endpoint_port() = default;
+  virtual void run(const peer_address &Endpoint, endpoint_call Call,
+                   std::function<void(endpoint_outcome)> Done) = 0;
+  /// Asks the endpoint to stop \p Task. The end still comes through run()'s
+  /// callback.
+  virtual void stop(const peer_address &Endpoint, const task_id &Task) = 0;
+};
+
+/// Receives the events of the time line.
+class timeline_sink {
+public:
+  virtual ~timeline_sink() = default;
+  /// Fills in time and process, and keeps \p Event.
+  virtual void record(timeline_event Event) = 0;
+};
+
+} // namespace crocuswood
--- /dev/null
+++ b/packages/replay/include/crocuswood/replay.h
@@ -0,0 +1,74 @@
+/// \file
+/// Public header of the package replay: steps the real cores through a recorded
+/// trace in virtual time, with small fakes for link, endpoint and store.
+#pragma once
+
+#include <crocuswood/checker.h>
+#include <crocuswood/entry.h>
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crocuswood::replay {
+
+struct trace_content;
+
+/// A parsed trace: header, timed inputs and stated outcomes. See
+/// docs/TRACES.md.
+class trace {
+public:
+  explicit trace(std::shared_ptr<const trace_content> Content)
+      : Content(std::move(Content)) {}
+  const trace_content &getContent() const { return *Content; }
+
+private:
+  std::shared_ptr<const trace_content> Content;
+};
+
+/// One stated outcome, compared.
+struct outcome_result {
+  std::string Name; ///< As the trace states it.
+  std::string Expected;
+  std::string Seen;
+  bool Passed = false;
+};
+
+/// Figures of a run by class.
+struct class_figures {
+  std::uint64_t Completed = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Failed = 0;
+  std::uint64_t Missed = 0;
+  double StretchP50 = 0; ///< Response time over the task's own time.
+  double StretchP99 = 0;
+};
+
+struct run_result {
+  std::vector<outcome_result> Outcomes;
+  checker::verdict Verdict;
+  std::vector<timeline_event> Timeline; ///< Merged.
+  std::map<std::string, class_figures> Classes;
+  double StretchP50 = 0;
+  double StretchP99 = 0;
+  double WastedPerTask = 0;
+  double Goodput = 0; ///< Share of the capacity that went into answered jobs.
+};
+
+struct run_options {
+  entry::policy_kind Policy = entry::policy_kind::Crocuswood;
+  bool KeepTimeline = true;
+};
+
+checked<trace> parse(std::string_view Text, const std::string &Source);
+
+/// Runs \p Trace. The same trace and options give the same result, byte for
+/// byte.
+run_result run(const trace &Trace, const run_options &Options);
+
+} // namespace crocuswood::replay
--- /dev/null
+++ b/packages/rings/include/crocuswood/rings.h
@@ -0,0 +1,91 @@
+/// \file
+/// Public header of the package rings: a thread for each duty, joined by
+/// bounded rings.
+#pragma once
+
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace crocuswood::rings {
+
+/// Owns an eventfd that producers use to wake one consumer.
+class wake_signal {
+public:
+  wake_signal();
+  ~wake_signal();
+  wake_signal(const wake_signal &) = delete;
+  wake_signal &operator=(const wake_signal &) = delete;
+
+  /// Wakes the consumer. Several calls before it looks count as one system
+  /// call.
+  void raise();
+  /// To be called by the consumer before it looks into its rings.
+  void lower();
+  int getDescriptor() const { return Descriptor; }
+
+private:
+  int Descriptor;
+  std::atomic<bool> Raised{false};
+};
+
+/// A bounded ring from one producer thread to one consumer thread.
+template <class Item> class ring {
+public:
+  ring(std::size_t Capacity, wake_signal &Consumer)
+      : Queue(Capacity), Signal(Consumer) {}
+
+  /// \returns false, leaving \p Value untouched, when the ring is full.
+  bool tryPush(Item &&Value) {
+    if (Queue.write_available() == 0) {
+      return false;
+    }
+    Queue.push(std::move(Value));
+    Signal.raise();
+    return true;
+  }
+  bool tryPop(Item &Value) { return Queue.pop(Value); }
+
+private:
+  boost::lockfree::spsc_queue<Item> Queue;
+  wake_signal &Signal;
+};
+
+/// A thread that runs an io_context and a drain function each time its signal
+/// is raised.
+class duty {
+public:
+  /// \p Name is shown by the operating system; at most 15 characters count.
+  explicit duty(std::string Name);
+  /// Stops and joins.
+  ~duty();
+  duty(const duty &) = delete;
+  duty &operator=(const duty &) = delete;
+
+  boost::asio::io_context &getContext();
+  wake_signal &getSignal();
+  /// \p Drain runs on the duty's thread after each wake-up. To be set before
+  /// start().
+  void setDrain(std::function<void()> Drain);
+  void start();
+  /// Ends the thread after the work at hand. Idempotent.
+  void stop();
+  /// Runs \p Work on the duty's thread, from any thread.
+  void post(std::function<void()> Work);
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace crocuswood::rings
--- /dev/null
+++ b/scripts/sanitizers.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Runs the tests of the cores and the wire under the address and undefined-behaviour
+# sanitizers, and those of the rings under the thread sanitizer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+JOBS="${JOBS:-$(nproc)}"
+
+# Arguments: build folder, sanitizers, test programs.
+run_under() {
+  local BUILD="$1" SANITIZERS="$2"
+  shift 2
+  cmake -S . -B "$BUILD" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCROCUSWOOD_SANITIZE="$SANITIZERS"
+  ninja -C "$BUILD" -j "$JOBS" "${@/#/test_}"
+  local PROGRAM
+  for PROGRAM in "$@"; do
+    (cd "$BUILD" && "./tests/$PROGRAM/test_$PROGRAM")
+  done
+}
+
+run_under "${BUILD:-build}-address" address,undefined model
