--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -22,6 +22,7 @@
 struct options {
   process_id Self;
   std::string Zone;
+  peer_address Operators; ///< Told to entries.
   std::uint64_t Seed =
       0; ///< Of the core's own generator, for the spread of dials.
   std::vector<peer_address>
--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -31,6 +31,7 @@
 struct options {
   process_id Self;
   std::string Zone;
+  peer_address Operators; ///< Told to companions.
   std::uint64_t Seed = 0; ///< Of the core's own generator.
   policy_kind Policy = policy_kind::Crocuswood;
   duration HeartbeatInterval = std::chrono::milliseconds(500);
@@ -166,6 +167,7 @@
 struct companion_status {
   std::string Name;
   std::string Zone;
+  peer_address Operators;
   bool Linked = false;
   bool SetAside = false;
   endpoint_report Endpoint;
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -64,7 +64,8 @@
 struct companion_hello {
   std::uint32_t Version = PeerProtocolVersion;
   process_id Companion;
-  std::string Zone; ///< Availability zone.
+  std::string Zone;       ///< Availability zone.
+  peer_address Operators; ///< Its operators' port.
   std::uint64_t ConfigurationRevision = 0;
   endpoint_report Endpoint;
   companion_load Load;
