--- /dev/null
+++ b/packages/http/src/server_connection.cpp
@@ -0,0 +1,383 @@
+#include "server_connection.h"
+
+namespace crocuswood::http {
+
+namespace {
+
+constexpr std::size_t HeaderReadBytes = 8U * 1024;
+constexpr std::size_t BodyReadBytes = 64U * 1024;
+constexpr std::size_t MaxReadAheadBytes = 64U * 1024;
+constexpr std::size_t MaxDiscardedBytes = 4U * 1024 * 1024;
+constexpr std::chrono::seconds LingerLimit{1};
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusTimeout = 408;
+constexpr unsigned StatusBodyTooLarge = 413;
+constexpr unsigned StatusHeaderTooLarge = 431;
+constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+unsigned statusOfFault(const error_code &Error) {
+  if (Error == beast_http::error::body_limit) {
+    return StatusBodyTooLarge;
+  }
+  if (Error == beast_http::error::header_limit) {
+    return StatusHeaderTooLarge;
+  }
+  return StatusBadRequest;
+}
+
+/// Appends the whole message, header and body, to \p Output.
+void appendMessage(std::string &Output, server_response Response,
+                   bool KeepAlive) {
+  beast_http::response<beast_http::string_body> Message(
+      static_cast<beast_http::status>(Response.Status), 11);
+  for (const auto &[Name, Value] : Response.Headers) {
+    Message.set(Name, Value);
+  }
+  if (!Response.Body.empty()) {
+    Message.set(beast_http::field::content_type, Response.ContentType);
+  }
+  Message.keep_alive(KeepAlive);
+  Message.body() = std::move(Response.Body);
+  Message.prepare_payload();
+  beast_http::response_serializer<beast_http::string_body> Serializer(Message);
+  error_code Error;
+  while (!Serializer.is_done()) {
+    std::size_t Bytes = 0;
+    Serializer.next(Error, [&](error_code &, const auto &Buffers) {
+      for (const asio::const_buffer Part : beast::buffers_range_ref(Buffers)) {
+        Output.append(static_cast<const char *>(Part.data()), Part.size());
+        Bytes += Part.size();
+      }
+    });
+    if (Error) {
+      return;
+    }
+    Serializer.consume(Bytes);
+  }
+}
+
+} // namespace
+
+server_connection::server_connection(tcp::socket Socket,
+                                     const server_state &State,
+                                     connection_handler &Handler)
+    : Socket(std::move(Socket)), State(State), Handler(&Handler),
+      LastProgress(steady_clock::now()) {}
+
+void server_connection::start() {
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  Socket.non_blocking(true, Ignored);
+  read();
+}
+
+void server_connection::tag(slot_number Slot, std::uint64_t Tag) {
+  if (Slot >= FirstSlot && Slot - FirstSlot < Slots.size()) {
+    Slots[Slot - FirstSlot].Tag = Tag;
+  }
+}
+
+void server_connection::respond(slot_number Slot, server_response Response) {
+  if (Closed || Slot < FirstSlot || Slot - FirstSlot >= Slots.size()) {
+    return;
+  }
+  slot &Target = Slots[Slot - FirstSlot];
+  Target.Tag = 0;
+  if (!Target.Response) {
+    Target.Response = std::move(Response);
+  }
+  if (!Parsing) {
+    flush();
+  }
+}
+
+void server_connection::closeIfIdle() {
+  if (!Closed && !Lingering && isIdle()) {
+    linger();
+  }
+}
+
+void server_connection::checkTime(steady_clock::time_point Now) {
+  if (Closed) {
+    return;
+  }
+  const auto Silent = Now - LastProgress;
+  if (Lingering) {
+    if (Silent > LingerLimit) {
+      close();
+    }
+    return;
+  }
+  if (Writing) {
+    if (Silent > State.Limits.IdleLimit) {
+      close();
+    }
+    return;
+  }
+  if (Parser && !InputEnded && Slots.empty()) {
+    if (Now - RequestBegan > State.Limits.IdleLimit) {
+      rejectFault(StatusTimeout, "The request did not arrive in time.");
+      flush();
+    }
+    return;
+  }
+  if (isIdle() && Silent > State.Limits.IdleLimit) {
+    linger();
+  }
+}
+
+void server_connection::detach() {
+  Handler = nullptr;
+  Closed = true;
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
+void server_connection::rejectAtOnce(unsigned Status,
+                                     const std::string &Reason) {
+  rejectFault(Status, Reason);
+  flush();
+}
+
+void server_connection::read() {
+  const std::size_t Bound = MaxReadAheadBytes + State.Limits.MaxHeaderBytes;
+  if (Closed || Reading || Input.size() >= Bound ||
+      Discarded > MaxDiscardedBytes) {
+    return;
+  }
+  Reading = true;
+  const bool InBody = Parser && Parser->is_header_done();
+  const std::size_t Bytes = InBody ? BodyReadBytes : HeaderReadBytes;
+  Socket.async_read_some(
+      Input.prepare(Bytes),
+      [Self = shared_from_this()](error_code Error, std::size_t Read) {
+        Self->Reading = false;
+        Self->bytesRead(Error, Read);
+      });
+}
+
+void server_connection::bytesRead(error_code Error, std::size_t Bytes) {
+  if (Closed) {
+    return;
+  }
+  if (Error) {
+    peerClosed();
+    return;
+  }
+  if (InputEnded) {
+    Discarded += Bytes;
+    read();
+    return;
+  }
+  Input.commit(Bytes);
+  LastProgress = steady_clock::now();
+  parseInput();
+  flush();
+  read();
+}
+
+void server_connection::parseInput() {
+  Parsing = true;
+  while (!Closed && !InputEnded && Input.size() > 0 &&
+         Slots.size() < State.Limits.MaxPipelined) {
+    if (!parseSome()) {
+      break;
+    }
+  }
+  Parsing = false;
+  if (InputEnded) {
+    Input.clear();
+  }
+  if (Input.size() == 0 && Input.capacity() > BodyReadBytes / 2 && !Reading) {
+    Input.shrink_to_fit();
+  }
+}
+
+bool server_connection::parseSome() {
+  if (!Parser) {
+    Parser.emplace();
+    Parser->eager(true);
+    Parser->header_limit(State.Limits.MaxHeaderBytes);
+    Parser->body_limit(State.Limits.MaxBodyBytes);
+    ContinueSent = false;
+    RequestBegan = LastProgress;
+  }
+  error_code Error;
+  const std::size_t Bytes = Parser->put(Input.data(), Error);
+  Input.consume(Bytes);
+  if (Error && Error != beast_http::error::need_more) {
+    rejectFault(statusOfFault(Error), Error.message());
+    return false;
+  }
+  if (Parser->is_done()) {
+    requestComplete();
+    return true;
+  }
+  continueIfExpected();
+  return Bytes > 0 && !Error;
+}
+
+void server_connection::continueIfExpected() {
+  if (ContinueSent || !Parser->is_header_done()) {
+    return;
+  }
+  ContinueSent = true;
+  const auto Expected = Parser->get()[beast_http::field::expect];
+  if (!beast::iequals(Expected, "100-continue")) {
+    return;
+  }
+  slot &Slot = Slots.emplace_back();
+  Slot.Interim = true;
+  Slot.Response.emplace();
+}
+
+void server_connection::requestComplete() {
+  server_request Request = Parser->release();
+  Parser.reset();
+  slot &Slot = Slots.emplace_back();
+  Slot.KeepAlive = Request.keep_alive();
+  InputEnded = !Slot.KeepAlive;
+  const slot_number Number = FirstSlot + Slots.size() - 1;
+  Handler->requestReceived(*this, Number, std::move(Request));
+}
+
+void server_connection::rejectFault(unsigned Status,
+                                    const std::string &Reason) {
+  Parser.reset();
+  InputEnded = true;
+  slot &Slot = Slots.emplace_back();
+  Slot.KeepAlive = false;
+  Slot.Response = Handler->rejectInput(Status, Reason);
+}
+
+void server_connection::peerClosed() {
+  InputEnded = true;
+  Parser.reset();
+  abandonRequests();
+  if (!Writing || Lingering) {
+    close();
+    return;
+  }
+  FinalAnswer = true;
+}
+
+void server_connection::abandonRequests() {
+  std::deque<slot> Abandoned = std::move(Slots);
+  FirstSlot += Abandoned.size();
+  Slots.clear();
+  for (const slot &Slot : Abandoned) {
+    if (Slot.Tag != 0 && Handler != nullptr) {
+      Handler->requestAbandoned(Slot.Tag);
+    }
+  }
+}
+
+void server_connection::flush() {
+  if (Closed || Writing || Lingering) {
+    return;
+  }
+  while (appendNextAnswer()) {
+  }
+  if (Output.empty()) {
+    return;
+  }
+  Writing = true;
+  OutputWritten = 0;
+  LastProgress = steady_clock::now();
+  writeSome();
+}
+
+bool server_connection::appendNextAnswer() {
+  if (FinalAnswer || Slots.empty() || !Slots.front().Response) {
+    return false;
+  }
+  slot &Slot = Slots.front();
+  if (Slot.Interim) {
+    Output += ContinueLine;
+  } else {
+    FinalAnswer = closesAfter(Slot);
+    appendMessage(Output, std::move(*Slot.Response), !FinalAnswer);
+  }
+  Slots.pop_front();
+  ++FirstSlot;
+  return true;
+}
+
+void server_connection::writeSome() {
+  const auto Rest = asio::buffer(Output) + OutputWritten;
+  Socket.async_write_some(
+      Rest, [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+        Self->bytesWritten(Error, Bytes);
+      });
+}
+
+void server_connection::bytesWritten(error_code Error, std::size_t Bytes) {
+  if (Closed) {
+    return;
+  }
+  if (Error) {
+    close();
+    return;
+  }
+  LastProgress = steady_clock::now();
+  OutputWritten += Bytes;
+  if (OutputWritten < Output.size()) {
+    writeSome();
+    return;
+  }
+  Writing = false;
+  Output.clear();
+  if (Output.capacity() > BodyReadBytes) {
+    Output.shrink_to_fit();
+  }
+  if (FinalAnswer || (State.Draining && isIdle())) {
+    linger();
+    return;
+  }
+  parseInput();
+  flush();
+  read();
+}
+
+// Closing a socket with unread input resets the connection, which may destroy
+// an answer on its way. So the peer closes first, or a short time passes.
+void server_connection::linger() {
+  abandonRequests();
+  Lingering = true;
+  InputEnded = true;
+  LastProgress = steady_clock::now();
+  error_code Error;
+  Socket.shutdown(tcp::socket::shutdown_send, Error);
+  if (Error) {
+    close();
+    return;
+  }
+  Input.clear();
+  read();
+}
+
+void server_connection::close() {
+  if (Closed) {
+    return;
+  }
+  Closed = true;
+  error_code Ignored;
+  Socket.close(Ignored);
+  abandonRequests();
+  if (Handler != nullptr) {
+    Handler->connectionClosed(*this);
+  }
+}
+
+bool server_connection::isIdle() const {
+  return Slots.empty() && !Writing && !Parser && Input.size() == 0;
+}
+
+bool server_connection::closesAfter(const slot &Slot) const {
+  if (!Slot.KeepAlive) {
+    return true;
+  }
+  return State.Stopping && Slots.size() == 1 && !Parser && Input.size() == 0;
+}
+
+} // namespace crocuswood::http
--- /dev/null
+++ b/packages/http/src/server_connection.h
@@ -0,0 +1,129 @@
+/// \file
+/// One accepted connection: reads requests, writes answers in their order.
+#pragma once
+
+#include "beast.h"
+
+#include <crocuswood/http.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocuswood::http {
+
+using server_request = beast_http::request<beast_http::string_body>;
+
+/// What is written for a request.
+struct server_response {
+  unsigned Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  std::vector<std::pair<std::string, std::string>> Headers;
+};
+
+/// Number of a request within its connection.
+using slot_number = std::uint64_t;
+
+class server_connection;
+
+/// Receives what happens on the connections of a server.
+class connection_handler {
+public:
+  virtual ~connection_handler() = default;
+  /// A whole request has arrived. It is answered now or later by
+  /// server_connection::respond().
+  virtual void requestReceived(server_connection &Connection, slot_number Slot,
+                               server_request Request) = 0;
+  /// \returns the answer to input that is no valid request.
+  virtual server_response rejectInput(unsigned Status,
+                                      const std::string &Reason) = 0;
+  /// The peer went away before the request with this tag was answered.
+  virtual void requestAbandoned(std::uint64_t Tag) = 0;
+  /// The connection is closed and can be released.
+  virtual void connectionClosed(server_connection &Connection) = 0;
+};
+
+/// Bounds and state that all connections of a server share.
+struct server_state {
+  server_limits Limits;
+  bool Stopping = false; ///< Answers say `Connection: close`.
+  bool Draining = false; ///< Connections without a request close.
+};
+
+/// One accepted connection.
+class server_connection
+    : public std::enable_shared_from_this<server_connection> {
+public:
+  server_connection(tcp::socket Socket, const server_state &State,
+                    connection_handler &Handler);
+
+  void start();
+  /// Sets the tag that names \p Slot in requestAbandoned().
+  void tag(slot_number Slot, std::uint64_t Tag);
+  /// Sets the answer of \p Slot. Answers to closed connections are ignored.
+  void respond(slot_number Slot, server_response Response);
+  /// Closes the connection if nothing is under way on it.
+  void closeIfIdle();
+  /// Enforces the time limits.
+  void checkTime(steady_clock::time_point Now);
+  /// Closes at once and makes no further call to the handler.
+  void detach();
+  /// Rejects the peer without reading anything.
+  void rejectAtOnce(unsigned Status, const std::string &Reason);
+
+private:
+  using parser = beast_http::request_parser<beast_http::string_body>;
+
+  struct slot {
+    std::uint64_t Tag = 0;
+    bool KeepAlive = true;
+    bool Interim = false; ///< `100 Continue` in place of an answer.
+    std::optional<server_response> Response;
+  };
+
+  void read();
+  void bytesRead(error_code Error, std::size_t Bytes);
+  void parseInput();
+  bool parseSome();
+  void continueIfExpected();
+  void requestComplete();
+  void rejectFault(unsigned Status, const std::string &Reason);
+  void peerClosed();
+  void abandonRequests();
+  void flush();
+  bool appendNextAnswer();
+  void writeSome();
+  void bytesWritten(error_code Error, std::size_t Bytes);
+  void linger();
+  void close();
+  bool isIdle() const;
+  bool closesAfter(const slot &Slot) const;
+
+  tcp::socket Socket;
+  const server_state &State;
+  connection_handler *Handler;
+  beast::flat_buffer Input;
+  std::optional<parser> Parser;
+  bool ContinueSent = false;
+  std::deque<slot> Slots;
+  slot_number FirstSlot = 0; ///< Number of the front of `Slots`.
+  std::string Output;
+  std::size_t OutputWritten = 0;
+  bool Reading = false;
+  bool Writing = false;
+  bool Parsing = false;
+  bool InputEnded = false;  ///< Input is read only to notice the end.
+  bool FinalAnswer = false; ///< `Output` holds the last answer.
+  bool Lingering = false;
+  bool Closed = false;
+  std::size_t Discarded = 0;
+  steady_clock::time_point RequestBegan;
+  steady_clock::time_point LastProgress;
+};
+
+} // namespace crocuswood::http
