--- a/packages/timeline/include/crocuswood/timeline.h
+++ b/packages/timeline/include/crocuswood/timeline.h
@@ -6,7 +6,6 @@
 #include <crocuswood/model.h>
 
 #include <cstdint>
-#include <deque>
 #include <iosfwd>
 #include <optional>
 #include <string>
@@ -43,7 +42,8 @@
 
 private:
   std::size_t MaxEvents;
-  std::deque<timeline_event> Events;
+  std::vector<timeline_event> Ring; ///< Grows to `MaxEvents`, then wraps.
+  std::size_t Oldest = 0;           ///< Index of the oldest event in `Ring`.
   std::uint64_t Dropped = 0;
 };
 
