Stand in for the platform, an endpoint and callers

Cause: the whole path needs something at its outer ends. Change: three small programs for tests: rows, range, batch and objects with faults on demand; an endpoint that announces itself, echoes inputs with a digest, and leaves on SIGTERM; a load that checks every answer against its own request.

--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -88,6 +88,9 @@
   std::string Body;
 };
 
+/// As the status of a plain_response: closes the connection without an answer.
+constexpr unsigned CloseWithoutAnswer = 0;
+
 struct plain_response {
   unsigned Status = 200;
   std::string ContentType = "application/json";
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -79,7 +79,10 @@
     // A second call finds the slot answered and does nothing.
     Handler(std::move(*Plain), [Weak = Connection.weak_from_this(),
                                 Slot](plain_response Response) {
-      if (const auto Open = Weak.lock()) {
+      const auto Open = Weak.lock();
+      if (Open && Response.Status == CloseWithoutAnswer) {
+        Open->close();
+      } else if (Open) {
         Open->respond(Slot, toServer(std::move(Response)));
       }
     });
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -67,6 +67,8 @@
   void tag(slot_number Slot, std::uint64_t Tag);
   /// Sets the answer of \p Slot. Answers to closed connections are ignored.
   void respond(slot_number Slot, server_response Response);
+  /// Closes at once, whatever is under way.
+  void close();
   /// Closes the connection if nothing is under way on it.
   void closeIfIdle();
   /// Enforces the time limits.
@@ -100,7 +102,6 @@
   void writeSome();
   void bytesWritten(error_code Error, std::size_t Bytes);
   void linger();
-  void close();
   bool isIdle() const;
   bool closesAfter(const slot &Slot) const;
 
--- /dev/null
+++ b/tests/stand_ins/common/stand_in.cpp
@@ -0,0 +1,86 @@
+#include "common/stand_in.h"
+
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace crocuswood::stand_ins {
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitFailure = 1;
+
+[[noreturn]] void exitWith(int Status, const std::string &Message) {
+  std::cerr << Message << '\n';
+  std::exit(Status);
+}
+
+} // namespace
+
+peer_address addressOrExit(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  std::uint16_t Port = 0;
+  if (Colon != std::string::npos) {
+    const char *End = Text.data() + Text.size();
+    const auto [Rest, Error] =
+        std::from_chars(Text.data() + Colon + 1, End, Port);
+    if (Error == std::errc() && Rest == End) {
+      return {.Host = Text.substr(0, Colon), .Port = Port};
+    }
+  }
+  exitWith(ExitUsage, "not an address: " + Text);
+}
+
+std::string toString(const peer_address &Address) {
+  return Address.Host + ":" + std::to_string(Address.Port);
+}
+
+boost::program_options::variables_map
+optionsOrExit(int argc, char **argv,
+              const boost::program_options::options_description &Options) {
+  namespace po = boost::program_options;
+  po::variables_map Values;
+  try {
+    po::store(po::parse_command_line(argc, argv, Options), Values);
+    if (Values.count("help") != 0) {
+      std::cout << Options << '\n';
+      std::exit(0);
+    }
+    po::notify(Values);
+  } catch (const po::error &Error) {
+    exitWith(ExitUsage, Error.what());
+  }
+  return Values;
+}
+
+peer_address listenOrExit(http::plain_server &Server,
+                          const std::string &Listen) {
+  peer_address Address = addressOrExit(Listen);
+  const auto Port = Server.listen(Address);
+  if (const auto *Findings = std::get_if<findings>(&Port)) {
+    exitWith(ExitFailure, crocuswood::toString(*Findings));
+  }
+  Address.Port = std::get<std::uint16_t>(Port);
+  std::cout << "listening " << toString(Address) << std::endl;
+  return Address;
+}
+
+void onStopSignal(boost::asio::signal_set &Signals,
+                  std::function<void()> Stop) {
+  Signals.add(SIGTERM);
+  Signals.add(SIGINT);
+  Signals.async_wait(
+      [Stop = std::move(Stop)](const boost::system::error_code &Error, int) {
+        if (!Error) {
+          Stop();
+        }
+      });
+}
+
+http::plain_response answer(unsigned Status, std::string Body) {
+  return {.Status = Status, .Body = std::move(Body)};
+}
+
+} // namespace crocuswood::stand_ins
