Test the servers and clients of HTTP

Cause: malformed and lost input has to end in a clear error without harm to others, and a lost answer must never count as refused. Change: tests on loopback with scripted peers: order of pipelined answers, disconnects, bounds, stop and drain, damaged input from seeds, every end of a client's call. A fault of a task without input now has its right column.

--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds LongestCheckInterval{500};
 constexpr std::chrono::milliseconds ShortestCheckInterval{10};
 constexpr int ChecksPerIdleLimit = 8;
+/// Connections beyond the bound that are told so at the same time.
+constexpr std::size_t MaxRejected = 256;
 constexpr unsigned StatusUnavailable = 503;
 
 finding listenFault(const peer_address &Address, const error_code &Error) {
@@ -153,7 +155,11 @@
 }
 
 void connection_server::add(tcp::socket Socket) {
-  const bool Full = Connections.size() >= State.Limits.MaxConnections;
+  const std::size_t Open = Connections.size();
+  const bool Full = Open >= State.Limits.MaxConnections;
+  if (Open >= State.Limits.MaxConnections + MaxRejected) {
+    return;
+  }
   const auto Connection =
       std::make_shared<server_connection>(std::move(Socket), State, *this);
   Connections.emplace(Connection.get(), Connection);
--- a/packages/http/src/job_request_reader.cpp
+++ b/packages/http/src/job_request_reader.cpp
@@ -282,8 +282,8 @@
            "has more than " + std::to_string(MaxTasksPerJob) + " tasks");
     return false;
   }
-  Level = level::Task;
   LevelStart = valueStart();
+  Level = level::Task;
   TaskKeys.clear();
   Request.Tasks.emplace_back();
   return true;
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t MaxReadAheadBytes = 64U * 1024;
 constexpr std::size_t MaxDiscardedBytes = 4U * 1024 * 1024;
 constexpr std::chrono::seconds LingerLimit{1};
+constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusTimeout = 408;
 constexpr unsigned StatusBodyTooLarge = 413;
@@ -33,6 +34,9 @@
   for (const auto &[Name, Value] : Response.Headers) {
     Message.set(Name, Value);
   }
+  if (Response.Status == StatusNoContent) {
+    Response.Body.clear();
+  }
   if (!Response.Body.empty()) {
     Message.set(beast_http::field::content_type, Response.ContentType);
   }
@@ -235,7 +239,9 @@
   server_request Request = Parser->release();
   Parser.reset();
   slot &Slot = Slots.emplace_back();
-  Slot.KeepAlive = Request.keep_alive();
+  // The answer to HEAD would be taken for one without a body.
+  const bool IsHead = Request.method() == beast_http::verb::head;
+  Slot.KeepAlive = Request.keep_alive() && !IsHead;
   InputEnded = !Slot.KeepAlive;
   const slot_number Number = FirstSlot + Slots.size() - 1;
   Handler->requestReceived(*this, Number, std::move(Request));
--- /dev/null
+++ b/tests/http/server_input_test.cpp
@@ -0,0 +1,143 @@
+#include "test_support.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace crocuswood;
+using namespace crocuswood::http;
+using namespace crocuswood::http::test;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 150;
+
+/// \returns \p Text with a few bytes changed, removed or repeated.
+std::string damage(std::string Text, std::mt19937_64 &Random) {
+  const auto Below = [&Random](std::size_t Bound) {
+    return static_cast<std::size_t>(Random() % Bound);
+  };
+  const std::size_t Changes = 1 + Below(4);
+  for (std::size_t Change = 0; Change < Changes && !Text.empty(); ++Change) {
+    const std::size_t Place = Below(Text.size());
+    switch (Below(4)) {
+    case 0:
+      Text[Place] = static_cast<char>(Random());
+      break;
+    case 1:
+      Text.erase(Place, 1 + Below(5));
+      break;
+    case 2:
+      Text.insert(Place, Text.substr(Below(Text.size()), 10));
+      break;
+    default:
+      Text.resize(Place);
+      break;
+    }
+  }
+  return Text;
+}
+
+} // namespace
+
+TEST_GROUP(ServerInput) {
+  boost::asio::io_context Context;
+  server_limits Limits{.MaxBodyBytes = 4'096,
+                       .MaxHeaderBytes = 1'024,
+                       .IdleLimit = std::chrono::milliseconds(50)};
+  void teardown() override { settle(Context); }
+};
+
+TEST(ServerInput, DamagedSubmissionsNeverHarmAnotherCaller) {
+  recording_events Events;
+  caller_front Front(Context, Limits, Events);
+  Events.OnSubmit = [&Front](request_id Request, const job_request &Job) {
+    Front.answer(Request, echo(Job));
+  };
+  const auto Port =
+      std::get<std::uint16_t>(Front.listen({.Host = "127.0.0.1"}));
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    raw_connection Bad(Context, Port);
+    Bad.send(damage(submission("\"bad\"") + submission("[1,2]"), Random));
+    const std::string Input = std::to_string(Seed);
+    raw_connection Good(Context, Port);
+    Good.send(submission(Input));
+    CHECK_TRUE(Good.waitFor("\"results\":[" + Input + "]}"));
+  }
+}
+
+TEST(ServerInput, DamagedAnnouncementsAndQueriesAreAnsweredOrClosed) {
+  plain_server Server(
+      Context, Limits,
+      [](const plain_request &Request, const plain_server::respond &Respond) {
+        const auto Parsed = parseAnnouncement(Request.Body);
+        const bool Good =
+            std::holds_alternative<companion::endpoint_announcement>(Parsed);
+        Respond({.Status = Good ? 204U : 400U});
+      });
+  const auto Port =
+      std::get<std::uint16_t>(Server.listen({.Host = "127.0.0.1"}));
+  const std::string Whole =
+      request("POST", "/v1/announce?x=%41&y=1",
+              R"({"name":"r","address":"127.0.0.1:9","classes":[],"slots":1})");
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    raw_connection Bad(Context, Port);
+    Bad.send(damage(Whole, Random));
+    raw_connection Good(Context, Port);
+    Good.send(Whole);
+    CHECK_TRUE(Good.waitFor("HTTP/1.1 204"));
+  }
+}
+
+TEST(ServerInput, RandomBytesAreAnsweredOrClosed) {
+  recording_events Events;
+  caller_front Front(Context, Limits, Events);
+  const auto Port =
+      std::get<std::uint16_t>(Front.listen({.Host = "127.0.0.1"}));
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    std::string Bytes;
+    for (std::size_t Index = 0; Index < 1 + Seed * 20; ++Index) {
+      Bytes += static_cast<char>(Random());
+    }
+    raw_connection Bad(Context, Port);
+    Bad.send(Bytes);
+    CHECK_TRUE(Bad.waitClosed());
+  }
+  CHECK_EQUAL(0U, Events.Jobs.size());
+}
+
+TEST(ServerInput, EndlessHeadersAndByteByByteInputStayBounded) {
+  recording_events Events;
+  caller_front Front(Context, {.MaxHeaderBytes = 1'024}, Events);
+  const auto Port =
+      std::get<std::uint16_t>(Front.listen({.Host = "127.0.0.1"}));
+  raw_connection Endless(Context, Port);
+  Endless.send("POST /v1/jobs HTTP/1.1\r\nA: " + std::string(5'000, 'a'));
+  CHECK_TRUE(Endless.waitFor("431 "));
+  raw_connection Slow(Context, Port);
+  for (const char Byte : submission("\"slow\"")) {
+    Slow.send(std::string(1, Byte));
+    Context.restart();
+    Context.poll();
+  }
+  CHECK_TRUE(runUntil(Context, [&] { return !Events.Jobs.empty(); }));
+  CHECK_EQUAL(std::string("\"slow\""),
+              std::string(Events.Jobs[0].Tasks[0].Input.getBytes()));
+}
+
+TEST(ServerInput, TwoLengthsForOneBodyAreRefused) {
+  recording_events Events;
+  caller_front Front(Context, Limits, Events);
+  const auto Port =
+      std::get<std::uint16_t>(Front.listen({.Host = "127.0.0.1"}));
+  raw_connection Caller(Context, Port);
+  Caller.send("POST /v1/jobs HTTP/1.1\r\nContent-Length: 5\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+              submission("1"));
+  CHECK_TRUE(Caller.waitFor("400 "));
+  CHECK_TRUE(Caller.waitClosed());
+  CHECK_EQUAL(0U, Events.Jobs.size());
+}
--- a/tests/stand_ins/platform/platform_server.cpp
+++ b/tests/stand_ins/platform/platform_server.cpp
@@ -95,7 +95,7 @@
   }
   const std::string Mode = textOf(Body, "mode");
   const auto Found = Faults.find(Mode);
-  const json DelayValue = Body.value("delay_ms", json(0));
+  const json DelayValue = Body.value("delay_ms", json(0U));
   if (Found == Faults.end() || !DelayValue.is_number_unsigned()) {
     return stand_ins::fault(400, "invalid");
   }
