Measure the callers' front alone

Cause: the front has to carry 20,000 single-task requests a second on one thread. Change: a benchmark with kept-alive callers whose jobs are answered at once; the place of an element of tasks is now exact for numbers too.

--- a/benchmarks/http/caller_front_benchmark.cpp
+++ b/benchmarks/http/caller_front_benchmark.cpp
@@ -143,8 +143,8 @@
   });
 
   const std::string Request = makeRequest(InputBytes);
-  std::vector<std::vector<std::unique_ptr<caller>>> Callers(Threads);
   std::vector<std::unique_ptr<boost::asio::io_context>> Contexts;
+  std::vector<std::vector<std::unique_ptr<caller>>> Callers(Threads);
   for (std::uint32_t Index = 0; Index < Threads; ++Index) {
     Contexts.push_back(std::make_unique<boost::asio::io_context>());
     for (std::uint32_t Number = 0; Number < Connections / Threads; ++Number) {
--- a/packages/http/src/job_request_reader.cpp
+++ b/packages/http/src/job_request_reader.cpp
@@ -88,6 +88,7 @@
 bool job_request_reader::start_array(std::size_t) {
   if (OpaqueDepth == 0 && Level == level::Job && Key == "tasks") {
     Level = level::Tasks;
+    ElementEnd = offset();
     return true;
   }
   return openOpaque();
@@ -118,7 +119,6 @@
   }
   if (Level == level::Task) {
     finishTask();
-    Level = level::Tasks;
     return true;
   }
   finishJob();
@@ -147,11 +147,14 @@
 }
 
 std::size_t job_request_reader::valueStart() const {
-  if (Level != level::Job && Level != level::Task) {
-    return offset() == 0 ? 0 : offset() - 1;
+  if (Level == level::Outside) {
+    return 0;
   }
-  std::size_t Place = KeyEnd;
-  while (Place < Text.size() && (isSpace(Text[Place]) || Text[Place] == ':')) {
+  const bool IsElement = Level == level::Tasks;
+  const char Separator = IsElement ? ',' : ':';
+  std::size_t Place = IsElement ? ElementEnd : KeyEnd;
+  while (Place < Text.size() &&
+         (isSpace(Text[Place]) || Text[Place] == Separator)) {
     ++Place;
   }
   return Place;
@@ -223,6 +226,7 @@
   }
   if (Level == level::Tasks) {
     report(valueStart(), path(), "must be an object");
+    ElementEnd = valueEnd(Kind);
     ++TaskIndex;
     return;
   }
@@ -282,7 +286,7 @@
            "has more than " + std::to_string(MaxTasksPerJob) + " tasks");
     return false;
   }
-  LevelStart = valueStart();
+  TaskStart = valueStart();
   Level = level::Task;
   TaskKeys.clear();
   Request.Tasks.emplace_back();
@@ -292,8 +296,9 @@
 void job_request_reader::finishTask() {
   Level = level::Tasks;
   if (!contains(TaskKeys, "input")) {
-    report(LevelStart, path() + ".input", "is missing");
+    report(TaskStart, path() + ".input", "is missing");
   }
+  ElementEnd = offset();
   ++TaskIndex;
 }
 
--- a/packages/http/src/job_request_reader.h
+++ b/packages/http/src/job_request_reader.h
@@ -68,7 +68,8 @@
   std::uint32_t OpaqueDepth = 0; ///< Nesting inside a value kept as text.
   std::string Key;
   std::size_t KeyEnd = 0;
-  std::size_t LevelStart = 0; ///< Where the current task began.
+  std::size_t TaskStart = 0;
+  std::size_t ElementEnd = 0; ///< Of the last element of `tasks`.
   std::vector<std::string> JobKeys;
   std::vector<std::string> TaskKeys;
   std::uint32_t TaskIndex = 0;
