Bound unfinished bodies and drop silent connections

Cause: many half-sent bodies could take MaxConnections times MaxBodyBytes of memory; and after one kept connection went silent a client tried every other kept one, a time limit each. Change: a bound on the bodies that are arriving on all connections together (refused as not run), a shorter limit for a stalled request while draining, and no kept connection is used again after a lost answer.

--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -25,6 +25,8 @@
 struct server_limits {
   std::uint32_t MaxConnections = 1'024;
   std::uint32_t MaxBodyBytes = 8U * 1024 * 1024;
+  /// Bodies of all connections together that have not arrived wholly.
+  std::uint64_t MaxUnfinishedBodyBytes = 256ULL * 1024 * 1024;
   std::uint32_t MaxHeaderBytes = 16U * 1024;
   std::uint32_t MaxPipelined =
       64; ///< Requests of one connection that may wait for answers.
@@ -134,7 +136,8 @@
   std::string Reason;
 };
 
-/// A client with a pool of kept-alive connections to each server.
+/// A client with a pool of kept-alive connections to each server. After a lost
+/// answer it opens new connections, as the kept ones may have gone silent too.
 class plain_client {
 public:
   plain_client(boost::asio::io_context &Context,
--- a/packages/http/src/job_request_reader.cpp
+++ b/packages/http/src/job_request_reader.cpp
@@ -98,6 +98,7 @@
   if (OpaqueDepth > 0) {
     return true;
   }
+  Value.resize(std::min(Value.size(), MaxNameBytes));
   Key = std::move(Value);
   KeyEnd = offset();
   std::vector<std::string> &Seen = Level == level::Job ? JobKeys : TaskKeys;
--- a/packages/http/src/plain_client.cpp
+++ b/packages/http/src/plain_client.cpp
@@ -133,6 +133,9 @@
                            if (!*Alive) {
                              return;
                            }
+                           if (Reply.Kind == plain_reply::kind::Lost) {
+                             closeIdle(Address);
+                           }
                            giveBack(Address, Weak.lock());
                            Done(std::move(Reply));
                          });
@@ -148,6 +151,15 @@
     startQueued(Address, Server);
   }
 
+  // Whatever made one connection silent may have done so to all that were
+  // opened before; new ones may work.
+  void closeIdle(const peer_address &Address) {
+    server &Server = Servers[Address];
+    for (const idle &Candidate : std::exchange(Server.Idle, {})) {
+      discard(Server, Candidate.Connection);
+    }
+  }
+
   void startQueued(const peer_address &Address, server &Server) {
     while (!Server.Queue.empty()) {
       const auto Connection = takeConnection(Address, Server);
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.h"
 
+#include <algorithm>
+
 namespace crocuswood::http {
 
 namespace {
@@ -9,9 +11,11 @@
 constexpr std::size_t MaxReadAheadBytes = 64U * 1024;
 constexpr std::size_t MaxDiscardedBytes = 4U * 1024 * 1024;
 constexpr std::chrono::seconds LingerLimit{1};
+constexpr duration DrainRequestLimit = std::chrono::seconds(5);
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusTimeout = 408;
+constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusBodyTooLarge = 413;
 constexpr unsigned StatusHeaderTooLarge = 431;
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -62,8 +66,7 @@
 
 } // namespace
 
-server_connection::server_connection(tcp::socket Socket,
-                                     const server_state &State,
+server_connection::server_connection(tcp::socket Socket, server_state &State,
                                      connection_handler &Handler)
     : Socket(std::move(Socket)), State(State), Handler(&Handler),
       LastProgress(steady_clock::now()) {}
@@ -119,7 +122,7 @@
     return;
   }
   if (Parser && !InputEnded && Slots.empty()) {
-    if (Now - RequestBegan > State.Limits.IdleLimit) {
+    if (Now - RequestBegan > requestLimit()) {
       rejectFault(StatusTimeout, "The request did not arrive in time.");
       flush();
     }
@@ -203,7 +206,7 @@
     Parser->eager(true);
     Parser->header_limit(State.Limits.MaxHeaderBytes);
     Parser->body_limit(State.Limits.MaxBodyBytes);
-    ContinueSent = false;
+    HeaderSeen = false;
     RequestBegan = LastProgress;
   }
   error_code Error;
@@ -217,15 +220,49 @@
     requestComplete();
     return true;
   }
-  continueIfExpected();
+  if (!headerComplete()) {
+    return false;
+  }
   return Bytes > 0 && !Error;
 }
 
-void server_connection::continueIfExpected() {
-  if (ContinueSent || !Parser->is_header_done()) {
-    return;
+// Acts once, when the header is there and the body is not yet.
+bool server_connection::headerComplete() {
+  if (HeaderSeen || !Parser->is_header_done()) {
+    return true;
   }
-  ContinueSent = true;
+  HeaderSeen = true;
+  if (!reserveBody()) {
+    rejectFault(StatusUnavailable, "Too many requests arrive at once.");
+    return false;
+  }
+  continueIfExpected();
+  return true;
+}
+
+bool server_connection::reserveBody() {
+  const auto Length = Parser->content_length();
+  const std::uint64_t Bytes = Length ? *Length : State.Limits.MaxBodyBytes;
+  if (State.UnfinishedBodyBytes + Bytes > State.Limits.MaxUnfinishedBodyBytes) {
+    return false;
+  }
+  State.UnfinishedBodyBytes += Bytes;
+  ReservedBytes = Bytes;
+  return true;
+}
+
+void server_connection::dropParser() {
+  Parser.reset();
+  State.UnfinishedBodyBytes -= std::exchange(ReservedBytes, 0);
+}
+
+// A stop doesn't wait long for a request that stalls half-way.
+duration server_connection::requestLimit() const {
+  return State.Draining ? std::min(State.Limits.IdleLimit, DrainRequestLimit)
+                        : State.Limits.IdleLimit;
+}
+
+void server_connection::continueIfExpected() {
   const auto Expected = Parser->get()[beast_http::field::expect];
   if (!beast::iequals(Expected, "100-continue")) {
     return;
@@ -237,7 +274,7 @@
 
 void server_connection::requestComplete() {
   server_request Request = Parser->release();
-  Parser.reset();
+  dropParser();
   slot &Slot = Slots.emplace_back();
   // The answer to HEAD would be taken for one without a body.
   const bool IsHead = Request.method() == beast_http::verb::head;
@@ -249,7 +286,7 @@
 
 void server_connection::rejectFault(unsigned Status,
                                     const std::string &Reason) {
-  Parser.reset();
+  dropParser();
   InputEnded = true;
   slot &Slot = Slots.emplace_back();
   Slot.KeepAlive = false;
@@ -258,7 +295,7 @@
 
 void server_connection::peerClosed() {
   InputEnded = true;
-  Parser.reset();
+  dropParser();
   abandonRequests();
   if (!Writing || Lingering) {
     close();
@@ -348,6 +385,7 @@
 // Closing a socket with unread input resets the connection, which may destroy
 // an answer on its way. So the peer closes first, or a short time passes.
 void server_connection::linger() {
+  dropParser();
   abandonRequests();
   Lingering = true;
   InputEnded = true;
@@ -369,6 +407,7 @@
   Closed = true;
   error_code Ignored;
   Socket.close(Ignored);
+  dropParser();
   abandonRequests();
   if (Handler != nullptr) {
     Handler->connectionClosed(*this);
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -53,13 +53,14 @@
   server_limits Limits;
   bool Stopping = false; ///< Answers say `Connection: close`.
   bool Draining = false; ///< Connections without a request close.
+  std::uint64_t UnfinishedBodyBytes = 0; ///< Reserved by all connections.
 };
 
 /// One accepted connection.
 class server_connection
     : public std::enable_shared_from_this<server_connection> {
 public:
-  server_connection(tcp::socket Socket, const server_state &State,
+  server_connection(tcp::socket Socket, server_state &State,
                     connection_handler &Handler);
 
   void start();
@@ -92,7 +93,11 @@
   void bytesRead(error_code Error, std::size_t Bytes);
   void parseInput();
   bool parseSome();
+  bool headerComplete();
+  bool reserveBody();
+  void dropParser();
   void continueIfExpected();
+  duration requestLimit() const;
   void requestComplete();
   void rejectFault(unsigned Status, const std::string &Reason);
   void peerClosed();
@@ -106,11 +111,12 @@
   bool closesAfter(const slot &Slot) const;
 
   tcp::socket Socket;
-  const server_state &State;
+  server_state &State;
   connection_handler *Handler;
   beast::flat_buffer Input;
   std::optional<parser> Parser;
-  bool ContinueSent = false;
+  bool HeaderSeen = false;
+  std::uint64_t ReservedBytes = 0; ///< For the body that is arriving.
   std::deque<slot> Slots;
   slot_number FirstSlot = 0; ///< Number of the front of `Slots`.
   std::string Output;
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -173,6 +173,24 @@
   CHECK_TRUE(Waiting.waitFor("200 OK"));
 }
 
+TEST(CallerFront, UnfinishedBodiesTogetherAreBounded) {
+  start({.MaxBodyBytes = 1'000, .MaxUnfinishedBodyBytes = 1'500});
+  const std::string Half =
+      "POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000\r\n\r\n{";
+  raw_connection First(Context, Port);
+  First.send(Half);
+  settle(Context);
+  raw_connection Second(Context, Port);
+  Second.send(Half);
+  CHECK_TRUE(Second.waitFor("\"error\":\"overloaded\""));
+  First.close();
+  settle(Context);
+  raw_connection Third(Context, Port);
+  Third.send(Half);
+  settle(Context);
+  CHECK_EQUAL(std::string(), Third.received());
+}
+
 TEST(CallerFront, ConnectionsBeyondTheBoundAreRefusedAsNotRun) {
   start({.MaxConnections = 1});
   raw_connection First(Context, Port);
--- a/tests/http/clients_test.cpp
+++ b/tests/http/clients_test.cpp
@@ -95,6 +95,24 @@
   CHECK_TRUE(Kinds.at(0) == plain_reply::kind::Lost);
 }
 
+TEST(PlainClient, NoKeptConnectionIsUsedAfterOneWentSilent) {
+  scripted_server Server(Context, {{""}, {""}, {""}, {reply(200, "a")}});
+  plain_client Client(Context, 8, ShortLimit);
+  int Answers = 0;
+  for (int Number = 0; Number < 3; ++Number) {
+    Client.send(Server.address(), {.Method = "GET", .Path = "/"},
+                [&Answers](const plain_reply &) { ++Answers; });
+  }
+  CHECK_TRUE(runUntil(Context, [&] { return Server.Requests.size() == 3; }));
+  Server.answerAll(reply(200, ""));
+  CHECK_TRUE(runUntil(Context, [&] { return Answers == 3; }));
+  Server.silenceOpen();
+  CHECK_TRUE(send(Client, Server.address()).Kind == plain_reply::kind::Lost);
+  CHECK_EQUAL(3U, Server.Connections);
+  CHECK_EQUAL(std::string("a"), send(Client, Server.address()).Response.Body);
+  CHECK_EQUAL(4U, Server.Connections);
+}
+
 TEST(PlainClient, PathAndQueryArriveDecoded) {
   plain_request Seen;
   plain_server Server(
--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -191,6 +191,19 @@
     Open.clear();
   }
 
+  /// Sends \p Reply on every connection.
+  void answerAll(const std::string &Reply) {
+    for (const auto &Connection : Open) {
+      boost::asio::write(Connection->Socket, boost::asio::buffer(Reply));
+    }
+  }
+  /// Makes the connections of now take input without ever answering.
+  void silenceOpen() {
+    for (const auto &Connection : Open) {
+      Connection->Silent = true;
+    }
+  }
+
   std::vector<std::string> Requests;
   std::size_t Connections = 0;
 
@@ -199,6 +212,7 @@
     explicit connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
     tcp::socket Socket;
     std::string Input;
+    bool Silent = false;
     std::array<char, 16U * 1024> Buffer{};
   };
 
@@ -223,7 +237,7 @@
             return;
           }
           Connection->Input.append(Connection->Buffer.data(), Bytes);
-          if (isWhole(Connection->Input)) {
+          if (!Connection->Silent && isWhole(Connection->Input)) {
             Requests.push_back(std::exchange(Connection->Input, {}));
             play(Connection);
           }
