Follow the linter

Cause: clang-tidy found an array size that widens late, a const local that can't be moved from and a vector that grows step by step. Change: named size, plain local, reserved vector.

--- a/packages/http/src/job_request_reader.cpp
+++ b/packages/http/src/job_request_reader.cpp
@@ -174,7 +174,7 @@
 }
 
 std::string job_request_reader::path() const {
-  const std::string Task = "tasks[" + std::to_string(TaskIndex) + "]";
+  std::string Task = "tasks[" + std::to_string(TaskIndex) + "]";
   switch (Level) {
   case level::Outside:
     return "";
--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -25,6 +25,9 @@
 /// A generous bound; only a failing test comes near it.
 constexpr std::chrono::seconds WaitBound{20};
 
+/// Read from a socket at once.
+constexpr std::size_t ReadBytes = 16'384;
+
 /// Runs \p Context until \p Condition holds. \returns whether it did.
 inline bool runUntil(boost::asio::io_context &Context,
                      const std::function<bool()> &Condition) {
@@ -89,7 +92,7 @@
   struct state {
     std::string Received;
     bool Closed = false;
-    std::array<char, 16U * 1024> Buffer{};
+    std::array<char, ReadBytes> Buffer{};
   };
 
   static void read(const std::shared_ptr<tcp::socket> &Socket,
@@ -213,7 +216,7 @@
     tcp::socket Socket;
     std::string Input;
     bool Silent = false;
-    std::array<char, 16U * 1024> Buffer{};
+    std::array<char, ReadBytes> Buffer{};
   };
 
   void accept() {
--- a/tests/stand_ins/load/job_mix.cpp
+++ b/tests/stand_ins/load/job_mix.cpp
@@ -58,6 +58,7 @@
 
 std::vector<double> weights(const std::vector<job_kind> &Kinds) {
   std::vector<double> Weights;
+  Weights.reserve(Kinds.size());
   for (const job_kind &Kind : Kinds) {
     Weights.push_back(Kind.Weight);
   }
