--- a/packages/rings/include/crocuswood/rings.h
+++ b/packages/rings/include/crocuswood/rings.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
@@ -39,7 +40,8 @@
   std::atomic<bool> Raised{false};
 };
 
-/// A bounded ring from one producer thread to one consumer thread.
+/// A bounded ring from one producer thread to one consumer thread. Items are
+/// moved in and out; the queue's own clean-up needs them to be copyable.
 template <class Item> class ring {
 public:
   ring(std::size_t Capacity, wake_signal &Consumer)
@@ -50,11 +52,18 @@
     if (Queue.write_available() == 0) {
       return false;
     }
-    Queue.push(std::move(Value));
+    // The queue moves only from a range: push(const Item &) would copy.
+    Item *First = &Value;
+    Queue.push(std::make_move_iterator(First),
+               std::make_move_iterator(First + 1));
     Signal.raise();
     return true;
   }
-  bool tryPop(Item &Value) { return Queue.pop(Value); }
+  /// \returns false, leaving \p Value untouched, when the ring is empty.
+  bool tryPop(Item &Value) {
+    const auto Take = [&Value](Item &Front) { Value = std::move(Front); };
+    return Queue.consume_one(Take);
+  }
 
 private:
   boost::lockfree::spsc_queue<Item> Queue;
--- /dev/null
+++ b/tests/rings/ring_test.cpp
@@ -0,0 +1,170 @@
+#include <crocuswood/rings.h>
+
+#include <CppUTest/TestHarness.h>
+#include <boost/asio/io_context.hpp>
+
+#include <future>
+#include <memory>
+#include <poll.h>
+#include <thread>
+
+using namespace crocuswood::rings;
+
+namespace {
+
+bool isReadable(const wake_signal &Signal) {
+  pollfd Descriptor{
+      .fd = Signal.getDescriptor(), .events = POLLIN, .revents = 0};
+  return poll(&Descriptor, 1, 0) == 1;
+}
+
+} // namespace
+
+TEST_GROUP(Rings){};
+
+TEST(Rings, ItemsKeepTheirOrder) {
+  wake_signal Signal;
+  ring<int> Ring(8, Signal);
+  for (int Value = 0; Value < 5; ++Value) {
+    CHECK_TRUE(Ring.tryPush(std::move(Value)));
+  }
+  for (int Expected = 0; Expected < 5; ++Expected) {
+    int Value = -1;
+    CHECK_TRUE(Ring.tryPop(Value));
+    CHECK_EQUAL(Expected, Value);
+  }
+  int Value = -1;
+  CHECK_FALSE(Ring.tryPop(Value));
+}
+
+TEST(Rings, FullRingRefusesAndLeavesTheItem) {
+  wake_signal Signal;
+  ring<std::shared_ptr<int>> Ring(1, Signal);
+  CHECK_TRUE(Ring.tryPush(std::make_shared<int>(1)));
+  auto Refused = std::make_shared<int>(2);
+  CHECK_FALSE(Ring.tryPush(std::move(Refused)));
+  CHECK_EQUAL(1, Refused.use_count());
+}
+
+TEST(Rings, ItemsAreMovedInAndOut) {
+  wake_signal Signal;
+  ring<std::shared_ptr<int>> Ring(4, Signal);
+  auto Item = std::make_shared<int>(1);
+  const std::weak_ptr<int> Watch = Item;
+  CHECK_TRUE(Ring.tryPush(std::move(Item)));
+  CHECK_EQUAL(1, Watch.use_count());
+  std::shared_ptr<int> Taken;
+  CHECK_TRUE(Ring.tryPop(Taken));
+  CHECK_EQUAL(1, Taken.use_count());
+  Taken.reset();
+  CHECK_TRUE(Watch.expired());
+}
+
+TEST_GROUP(WakeSignals){};
+
+TEST(WakeSignals, RaiseAfterLowerIsSeen) {
+  wake_signal Signal;
+  CHECK_FALSE(isReadable(Signal));
+  Signal.raise();
+  Signal.raise();
+  CHECK_TRUE(isReadable(Signal));
+  Signal.lower();
+  CHECK_FALSE(isReadable(Signal));
+  Signal.raise();
+  CHECK_TRUE(isReadable(Signal));
+}
+
+TEST(WakeSignals, LowerWithoutRaiseLosesNothing) {
+  wake_signal Signal;
+  Signal.lower();
+  Signal.raise();
+  CHECK_TRUE(isReadable(Signal));
+}
+
+TEST_GROUP(Duties){};
+
+TEST(Duties, PostedWorkRunsOnTheDutysThread) {
+  duty Duty("posted");
+  Duty.start();
+  std::promise<std::thread::id> Ran;
+  Duty.post([&Ran] { Ran.set_value(std::this_thread::get_id()); });
+  CHECK_TRUE(Ran.get_future().get() != std::this_thread::get_id());
+}
+
+TEST(Duties, RaiseBeforeStartIsDrained) {
+  duty Duty("early");
+  std::promise<void> Drained;
+  Duty.setDrain([&Drained] { Drained.set_value(); });
+  Duty.getSignal().raise();
+  Duty.start();
+  Drained.get_future().wait();
+}
+
+TEST(Duties, StopIsIdempotentAndAllowsANewStart) {
+  duty Duty("again");
+  Duty.stop();
+  Duty.start();
+  Duty.stop();
+  Duty.stop();
+  Duty.start();
+  std::promise<void> Ran;
+  Duty.post([&Ran] { Ran.set_value(); });
+  Ran.get_future().wait();
+}
+
+TEST(Duties, StopFromTheDutysOwnThreadDoesNotBlock) {
+  duty Duty("self");
+  Duty.start();
+  std::promise<void> Stopped;
+  Duty.post([&] {
+    Duty.stop();
+    Stopped.set_value();
+  });
+  Stopped.get_future().wait();
+}
+
+TEST(Duties, NoWakeUpIsLostBetweenManyThreads) {
+  constexpr int Producers = 4;
+  constexpr int ItemsEach = 20'000;
+  constexpr std::size_t Capacity = 16;
+  duty Duty("consumer");
+  std::vector<std::unique_ptr<ring<int>>> Rings;
+  for (int Index = 0; Index < Producers; ++Index) {
+    Rings.push_back(std::make_unique<ring<int>>(Capacity, Duty.getSignal()));
+  }
+  std::vector<int> Next(Producers, 0);
+  int Received = 0;
+  bool InOrder = true;
+  std::promise<void> Finished;
+  Duty.setDrain([&] {
+    for (int Index = 0; Index < Producers; ++Index) {
+      int Value = 0;
+      while (Rings[Index]->tryPop(Value)) {
+        InOrder = InOrder && Value == Next[Index]++;
+        ++Received;
+      }
+    }
+    if (Received == Producers * ItemsEach) {
+      Finished.set_value();
+      ++Received;
+    }
+  });
+  Duty.start();
+  std::vector<std::thread> Threads;
+  Threads.reserve(Producers);
+  for (int Index = 0; Index < Producers; ++Index) {
+    Threads.emplace_back([&Ring = *Rings[Index]] {
+      for (int Value = 0; Value < ItemsEach; ++Value) {
+        while (!Ring.tryPush(int{Value})) {
+          std::this_thread::yield();
+        }
+      }
+    });
+  }
+  for (std::thread &Thread : Threads) {
+    Thread.join();
+  }
+  Finished.get_future().wait();
+  Duty.stop();
+  CHECK_TRUE(InOrder);
+}
