--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -29,6 +30,11 @@
   friend auto operator<=>(const peer_address &, const peer_address &) = default;
 };
 
+/// \returns `HOST:PORT`.
+std::string toString(const peer_address &Address);
+/// \returns nothing if \p Text is not `HOST:PORT` with a number for the port.
+std::optional<peer_address> parsePeerAddress(std::string_view Text);
+
 /// Whether the endpoint beside a companion takes work.
 enum class endpoint_state : std::uint8_t {
   Absent,  ///< No endpoint has announced itself, or it fell silent.
