--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -85,9 +85,10 @@
   std::uint32_t Version = PeerProtocolVersion;
   process_id Entry;
   std::string Zone; ///< Availability zone.
+  peer_address Operators; ///< Its operators' port.
   std::uint64_t ConfigurationRevision = 0;
-  std::vector<peer_address>
-      KnownEntries; ///< Addresses of all entries, its own included.
+  /// Addresses of all entries, its own included.
+  std::vector<peer_address> KnownEntries;
 
   friend bool operator==(const entry_hello &, const entry_hello &) = default;
 };
