--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -84,7 +84,7 @@
 struct entry_hello {
   std::uint32_t Version = PeerProtocolVersion;
   process_id Entry;
-  std::string Zone; ///< Availability zone.
+  std::string Zone;       ///< Availability zone.
   peer_address Operators; ///< Its operators' port.
   std::uint64_t ConfigurationRevision = 0;
   /// Addresses of all entries, its own included.
@@ -138,7 +138,7 @@
   duration Slack{}; ///< Time left until the task must start to meet its target.
   duration ExpectedRunTime{}; ///< The entry's estimate.
   std::optional<duration>
-      Deadline; ///< After this the task must not start any more.
+      Deadline;              ///< After this the task must not start any more.
   std::uint32_t Backlog = 0; ///< Tasks that still wait at the entry.
 
   friend bool operator==(const place_task &, const place_task &) = default;
--- a/packages/wire/include/crocuswood/wire.h
+++ b/packages/wire/include/crocuswood/wire.h
@@ -20,7 +20,8 @@
 
 /// \returns \p Envelope as MessagePack.
 std::string encode(const peer_envelope &Envelope);
-/// Decodes one envelope. Never throws; a finding tells the offset of the fault.
+/// Decodes one envelope. Never throws; a finding tells the offset of the fault,
+/// which is the last byte of the element at fault.
 checked<peer_envelope> decode(std::string_view Bytes);
 
 /// Bounds of every link.
