Check the settings of a process, every fault with its place

Cause: the daemons need settings, and operators need all faults at once. Change: settings of entry and companion from YAML with line and column of each fault: unknown, doubled and missing keys, wrong types, ranges. The model gets the texts of spans, sizes, addresses and names (model/text.h), which settings, documents and requests share.

--- a/packages/model/include/crocuswood/model.h
+++ b/packages/model/include/crocuswood/model.h
@@ -13,5 +13,6 @@
 #include <crocuswood/model/job.h>
 #include <crocuswood/model/payload.h>
 #include <crocuswood/model/peer_message.h>
+#include <crocuswood/model/text.h>
 #include <crocuswood/model/time.h>
 #include <crocuswood/model/timeline_event.h>
--- /dev/null
+++ b/packages/settings/src/settings.cpp
@@ -0,0 +1,157 @@
+#include "map_reader.h"
+
+#include <crocuswood/settings.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace crocuswood::settings {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr bounds<duration> HeartbeatBounds = {milliseconds(10), minutes(1)};
+constexpr bounds<duration> SilenceBounds = {milliseconds(50), minutes(10)};
+constexpr bounds<duration> PlatformPollBounds = {milliseconds(100), minutes(1)};
+constexpr bounds<duration> IdleBounds = {seconds(1), hours(1)};
+constexpr bounds<duration> EndpointTimeBounds = {seconds(1), hours(24)};
+constexpr bounds<std::uint32_t> TimelineEventsBounds = {1'000, 10'000'000};
+constexpr bounds<std::uint32_t> OutstandingTasksBounds = {1, 10'000'000};
+constexpr bounds<std::uint32_t> ConnectionsBounds = {1, 65'535};
+constexpr bounds<std::uint32_t> BodyBytesBounds = {1'024, 1'073'741'824};
+constexpr bounds<std::uint32_t> QueuedTasksBounds = {1, 1'000'000};
+
+// A link must be able to miss one heartbeat without counting as silent.
+constexpr int LeastHeartbeatsInSilence = 2;
+
+void readIntervals(map_reader Reader, process_settings &Target) {
+  Reader.readDuration("heartbeat", Target.HeartbeatInterval, HeartbeatBounds);
+  Reader.readDuration("silence", Target.SilenceLimit, SilenceBounds);
+  Reader.readDuration("platform_poll", Target.PlatformPollInterval,
+                      PlatformPollBounds);
+  if (Target.SilenceLimit <
+      LeastHeartbeatsInSilence * Target.HeartbeatInterval) {
+    Reader.addFault("silence", "This must be at least twice the heartbeat.");
+  }
+  Reader.finish();
+}
+
+void readProcess(map_reader &Reader, process_settings &Target) {
+  Reader.readName("name", Target.Name, presence::Required);
+  Reader.readName("zone", Target.Zone, presence::Required);
+  Reader.readAddress("operators", Target.Operators, presence::Required);
+  Reader.readAddress("platform", Target.Platform, presence::Required, true);
+  map_reader Log = Reader.readMap("log");
+  Log.readChoice("level", Target.Log.Level,
+                 {"trace", "debug", "info", "warn", "error"});
+  Log.readChoice("form", Target.Log.Form, {"text", "json"});
+  Log.finish();
+  map_reader Timeline = Reader.readMap("timeline");
+  Timeline.readNumber("events", Target.TimelineEvents, TimelineEventsBounds);
+  Timeline.readText("file", Target.TimelineFile, presence::Optional);
+  Timeline.finish();
+  readIntervals(Reader.readMap("intervals"), Target);
+}
+
+bool isAnyAddress(const peer_address &Address) {
+  return Address.Host == "0.0.0.0" || Address.Host == "::";
+}
+
+void readAdvertise(map_reader &Reader, entry_settings &Target) {
+  if (!Reader.readAddress("advertise", Target.Advertise, presence::Optional)) {
+    Target.Advertise = Target.Links;
+  }
+  if (isAnyAddress(Target.Advertise)) {
+    Reader.addFault("advertise", "Companions can't connect to this address; "
+                                 "state one that they reach.");
+  }
+}
+
+entry_settings readEntry(map_reader &Reader) {
+  entry_settings Target;
+  readProcess(Reader, Target.Process);
+  Reader.readAddress("callers", Target.Callers, presence::Required);
+  Reader.readAddress("links", Target.Links, presence::Required);
+  readAdvertise(Reader, Target);
+  map_reader Limits = Reader.readMap("limits");
+  Limits.readNumber("outstanding_tasks", Target.MaxOutstandingTasks,
+                    OutstandingTasksBounds);
+  Limits.readNumber("connections", Target.MaxConnections, ConnectionsBounds);
+  Limits.readByteSize("body_bytes", Target.MaxBodyBytes, BodyBytesBounds);
+  Limits.readDuration("idle", Target.IdleLimit, IdleBounds);
+  Limits.finish();
+  return Target;
+}
+
+companion_settings readCompanion(map_reader &Reader) {
+  companion_settings Target;
+  readProcess(Reader, Target.Process);
+  Reader.readAddress("announcements", Target.Announcements, presence::Required);
+  Reader.readAddress("balancer", Target.Balancer, presence::Required, true);
+  map_reader Limits = Reader.readMap("limits");
+  Limits.readNumber("queued_tasks", Target.MaxQueuedTasks, QueuedTasksBounds);
+  Limits.readDuration("endpoint_time", Target.EndpointTimeLimit,
+                      EndpointTimeBounds);
+  Limits.finish();
+  return Target;
+}
+
+checked<YAML::Node> load(std::string_view Text, const std::string &Source) {
+  try {
+    const std::vector<YAML::Node> Documents = YAML::LoadAll(std::string(Text));
+    if (Documents.size() == 1 && Documents.front().IsMap()) {
+      return Documents.front();
+    }
+  } catch (const YAML::Exception &Error) {
+    return findings{
+        {.Source = Source,
+         .Line = static_cast<std::uint32_t>(Error.mark.line + 1),
+         .Column = static_cast<std::uint32_t>(Error.mark.column + 1),
+         .Message = "This is not valid YAML: " + Error.msg + "."}};
+  }
+  return findings{{.Source = Source,
+                   .Line = 1,
+                   .Column = 1,
+                   .Message = "One document with a map is expected."}};
+}
+
+template <class Settings>
+checked<Settings> parse(std::string_view Text, const std::string &Source,
+                        Settings (*Read)(map_reader &)) {
+  auto Loaded = load(Text, Source);
+  if (auto *Faults = std::get_if<findings>(&Loaded)) {
+    return std::move(*Faults);
+  }
+  findings Faults;
+  map_reader Reader(std::get<YAML::Node>(Loaded), "", Source, Faults);
+  Settings Value = Read(Reader);
+  Reader.finish();
+  if (Faults.empty()) {
+    return Value;
+  }
+  std::stable_sort(Faults.begin(), Faults.end(),
+                   [](const finding &Left, const finding &Right) {
+                     return std::tie(Left.Line, Left.Column) <
+                            std::tie(Right.Line, Right.Column);
+                   });
+  return Faults;
+}
+
+} // namespace
+
+checked<entry_settings> parseEntry(std::string_view Text,
+                                   const std::string &Source) {
+  return parse<entry_settings>(Text, Source, readEntry);
+}
+
+checked<companion_settings> parseCompanion(std::string_view Text,
+                                           const std::string &Source) {
+  return parse<companion_settings>(Text, Source, readCompanion);
+}
+
+} // namespace crocuswood::settings
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,151 @@
+#include <crocuswood/settings.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace crocuswood;
+
+namespace {
+
+const char *const EntryText = R"(name: bassano-1
+zone: bassano
+callers: 0.0.0.0:8080
+links: 0.0.0.0:7000
+advertise: 10.0.0.1:7000
+operators: 10.0.0.1:9000
+platform: 10.0.9.1:5000
+log: {level: debug, form: json}
+timeline:
+  events: 5000
+  file: events.jsonl
+intervals:
+  heartbeat: 250ms
+  silence: 1.5s
+  platform_poll: 3s
+limits:
+  outstanding_tasks: 1000
+  connections: 60
+  body_bytes: 2MB
+  idle: 30s
+)";
+
+const char *const CompanionText = R"(name: runner-1
+zone: bassano
+announcements: 127.0.0.1:7100
+operators: 127.0.0.1:0
+platform: 10.0.9.1:5000
+balancer: 10.0.9.2:7000
+limits:
+  queued_tasks: 64
+  endpoint_time: 2m
+)";
+
+findings faultsOf(const std::string &Text) {
+  const auto Parsed = settings::parseEntry(Text, "entry.yaml");
+  const auto *Faults = std::get_if<findings>(&Parsed);
+  return Faults != nullptr ? *Faults : findings{};
+}
+
+bool hasFaultAt(const findings &Faults, std::uint32_t Line,
+                std::uint32_t Column, const std::string &Path) {
+  return std::any_of(Faults.begin(), Faults.end(), [&](const finding &Fault) {
+    return Fault.Line == Line && Fault.Column == Column && Fault.Path == Path &&
+           Fault.Source == "entry.yaml";
+  });
+}
+
+// The YAML library compiles its patterns on first use and keeps them, which the
+// leak detector would count against the test that comes first.
+const bool PatternsAreCompiled =
+    !faultsOf("a: [1, 'b']\n---\n- \"c\"\n- {d: ~}\n- &e |\n f\n- *e\n")
+         .empty() &&
+    !faultsOf("name: a\nzone: {b\n").empty();
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, WarmUpIsDone) { CHECK_TRUE(PatternsAreCompiled); }
+
+TEST(Settings, EntryReadsEveryKey) {
+  const auto Parsed = settings::parseEntry(EntryText, "entry.yaml");
+  const auto &Value = std::get<settings::entry_settings>(Parsed);
+  CHECK_EQUAL(std::string("bassano-1"), Value.Process.Name);
+  CHECK_EQUAL(8080, Value.Callers.Port);
+  CHECK_EQUAL(std::string("10.0.0.1"), Value.Advertise.Host);
+  CHECK_EQUAL(std::string("json"), Value.Process.Log.Form);
+  CHECK_EQUAL(5000U, Value.Process.TimelineEvents);
+  CHECK_TRUE(Value.Process.SilenceLimit == std::chrono::milliseconds(1500));
+  CHECK_EQUAL(2U * 1024 * 1024, Value.MaxBodyBytes);
+  CHECK_TRUE(Value.IdleLimit == std::chrono::seconds(30));
+}
+
+TEST(Settings, CompanionReadsItsKeys) {
+  const auto Parsed = settings::parseCompanion(CompanionText, "c.yaml");
+  const auto &Value = std::get<settings::companion_settings>(Parsed);
+  CHECK_EQUAL(7000, Value.Balancer.Port);
+  CHECK_EQUAL(64U, Value.MaxQueuedTasks);
+  CHECK_TRUE(Value.EndpointTimeLimit == std::chrono::minutes(2));
+  CHECK_EQUAL(65'536U, Value.Process.TimelineEvents);
+}
+
+TEST(Settings, EveryFaultIsReportedWithItsPlace) {
+  const findings Faults = faultsOf(R"(name: Bassano 1
+zone: [a, b]
+callers: localhost:8080
+links: 10.0.0.1:7000
+operators: 10.0.0.1:9000
+operators: 10.0.0.1:9001
+colour: red
+log: {level: loud}
+timeline:
+  events: many
+  evnts: 5
+intervals:
+  heartbeat: 500
+  silence:
+limits:
+  connections: 0
+)");
+  CHECK_TRUE(hasFaultAt(Faults, 1, 7, "name"));
+  CHECK_TRUE(hasFaultAt(Faults, 2, 7, "zone"));
+  CHECK_TRUE(hasFaultAt(Faults, 3, 10, "callers"));
+  CHECK_TRUE(hasFaultAt(Faults, 6, 1, "operators"));
+  CHECK_TRUE(hasFaultAt(Faults, 7, 1, "colour"));
+  CHECK_TRUE(hasFaultAt(Faults, 8, 14, "log.level"));
+  CHECK_TRUE(hasFaultAt(Faults, 10, 11, "timeline.events"));
+  CHECK_TRUE(hasFaultAt(Faults, 11, 3, "timeline.evnts"));
+  CHECK_TRUE(hasFaultAt(Faults, 13, 14, "intervals.heartbeat"));
+  CHECK_TRUE(hasFaultAt(Faults, 14, 3, "intervals.silence"));
+  CHECK_TRUE(hasFaultAt(Faults, 16, 16, "limits.connections"));
+  CHECK_TRUE(hasFaultAt(Faults, 1, 1, "platform"));
+  CHECK_EQUAL(12U, Faults.size());
+}
+
+TEST(Settings, SilenceShorterThanTwoHeartbeatsIsAFault) {
+  const std::string Text = std::string(EntryText);
+  const std::size_t Place = Text.find("1.5s");
+  const findings Faults =
+      faultsOf(Text.substr(0, Place) + "400ms" + Text.substr(Place + 4));
+  CHECK_TRUE(hasFaultAt(Faults, 14, 12, "intervals.silence"));
+}
+
+TEST(Settings, AnEntryMustAdvertiseAReachableAddress) {
+  std::string Text = EntryText;
+  Text.erase(Text.find("advertise"),
+             std::string("advertise: 10.0.0.1:7000\n").size());
+  CHECK_EQUAL(1U, faultsOf(Text).size());
+}
+
+TEST(Settings, SyntaxFaultsHaveAPlace) {
+  const findings Faults = faultsOf("name: a\nzone: {b\n");
+  CHECK_EQUAL(1U, Faults.size());
+  CHECK_TRUE(Faults.front().Line >= 2);
+}
+
+TEST(Settings, OtherShapesThanAMapAreRefused) {
+  for (const char *Text : {"", "- a", "text", "a: 1\n---\nb: 2\n", "~"}) {
+    CHECK_EQUAL(1U, faultsOf(Text).size());
+  }
+}
