Read, write and change the configuration

Cause: operators' changes need checked documents and a way through lost answers and conflicts. Change: canonical JSON documents, every fault with its place, apply() and the compare-and-swap runner. A lost answer followed by another operator's change is reported as uncertain and not repeated, since a repetition could undo theirs.

--- a/packages/config/include/crocuswood/config.h
+++ b/packages/config/include/crocuswood/config.h
@@ -110,6 +110,9 @@
   change_step next(const change_event &Event);
 
 private:
+  change_step readAgain();
+  change_step decide(const head_read &Head);
+
   change Change;
   std::uint32_t AttemptsLeft;
   configuration Pending;
