Add the companion core

Cause: the daemon beside an endpoint needs its decisions: which entries to dial, what to queue, start, give back and report. Change: the core of links, duplicate detection, queue by slack, slots, start fence, retained ends, orphans, endpoint monitor, configuration and planned stop, with tests driven by events.

--- /dev/null
+++ b/packages/companion/src/endpoint_monitor.h
@@ -0,0 +1,48 @@
+/// \file
+/// The endpoint beside this companion, as it announces itself.
+#pragma once
+
+#include "step.h"
+
+#include <crocuswood/companion.h>
+
+#include <optional>
+#include <string>
+
+namespace crocuswood::companion {
+
+/// Follows the endpoint's announcements.
+class endpoint_monitor {
+public:
+  explicit endpoint_monitor(duration AnnouncementLimit)
+      : AnnouncementLimit(AnnouncementLimit) {}
+
+  /// \returns whether the report for entries has changed.
+  bool announce(const step &Step, const endpoint_announcement &Announcement);
+  /// Treats an endpoint that has been silent for too long as absent. \returns
+  /// whether the report has changed.
+  bool checkSilence(const step &Step);
+  /// Treats the endpoint as absent until it announces itself again. \returns
+  /// whether the report has changed.
+  bool suspend(const step &Step, const std::string &Reason);
+  /// From now on the endpoint is reported as leaving. \returns whether the
+  /// report has changed.
+  bool leave();
+
+  /// \returns what entries are told.
+  endpoint_report getReport() const;
+  const std::string &getName() const { return Name; }
+  const peer_address &getAddress() const { return Address; }
+  /// \returns when an endpoint that stays silent counts as absent.
+  std::optional<instant> getNextWake() const;
+
+private:
+  duration AnnouncementLimit;
+  std::string Name;
+  peer_address Address;
+  endpoint_report Offer;
+  bool Stopping = false;
+  instant LastHeard;
+};
+
+} // namespace crocuswood::companion
--- /dev/null
+++ b/packages/companion/src/task_desk.h
@@ -0,0 +1,105 @@
+/// \file
+/// Tasks from their placement to their end.
+#pragma once
+
+#include "endpoint_monitor.h"
+#include "entry_links.h"
+#include "entry_registry.h"
+#include "step.h"
+#include "task_queue.h"
+
+#include <crocuswood/companion.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace crocuswood::companion {
+
+/// Queues placed tasks, starts them when slots are free and reports their ends.
+class task_desk {
+public:
+  task_desk(const options &Options, const configuration &Configuration,
+            entry_registry &Entries, entry_links &Links,
+            const endpoint_monitor &Endpoint);
+
+  void place(const step &Step, entry_peer &Peer, place_task Placement);
+  void withdraw(const step &Step, entry_peer &Peer,
+                const withdraw_tasks &Message);
+  void acknowledge(entry_peer &Peer, const acknowledge_ends &Message);
+  void resume(const step &Step, entry_peer &Peer,
+              const resume_request &Message);
+  /// Sends the retained ends of \p Peer again.
+  void resendEnds(entry_peer &Peer);
+  /// Frees the slot of a running task. A task that is not running is ignored.
+  /// \p MakeEnd gets the run time.
+  template <class Maker>
+  void endRun(const step &Step, const task_id &Task, Maker MakeEnd) {
+    const auto Run = takeRunning(Step, Task);
+    if (Run) {
+      finish(Step, Task, MakeEnd(*Run), *Run);
+    }
+  }
+
+  /// Starts queued tasks while slots are free, and gives back those whose
+  /// deadline has passed.
+  void startTasks(const step &Step);
+  void giveBackExpired(const step &Step);
+  /// Gives all queued tasks back.
+  void giveBackQueued(const step &Step, not_started_reason Reason);
+  /// Drops the queued tasks and the ends of an entry that is gone.
+  void dropEntry(const step &Step, entry_peer &Peer);
+
+  bool hasFreeSlot() const;
+  bool isIdle() const { return Running.empty() && Queue.getSize() == 0; }
+  std::uint64_t getStarted() const { return Started; }
+  std::optional<instant> getNextWake() const { return Queue.getNextDeadline(); }
+  /// \returns the load now; its sequence grows when it has changed.
+  companion_load refreshLoad();
+  const companion_load &getLoad() const { return Load; }
+  /// \returns how many tasks of \p Entry are queued and running.
+  std::pair<std::uint32_t, std::uint32_t> countTasks(incarnation Entry) const;
+
+private:
+  struct running_task {
+    instant StartedAt;
+    peer_address Endpoint;
+    std::uint64_t MemoryBytes = 0;
+    std::uint32_t Accelerators = 0;
+    bool StopAsked = false;
+  };
+
+  std::optional<duration> takeRunning(const step &Step, const task_id &Task);
+  std::optional<not_started_reason> findRefusal(const place_task &Task) const;
+  void answerDuplicate(const step &Step, entry_peer &Peer, const task_id &Task,
+                       task_memory Memory);
+  void resumeTask(const step &Step, entry_peer &Peer, const task_id &Task,
+                  resume_reply &Reply);
+  void dropUnnamed(const step &Step, entry_peer &Peer,
+                   const resume_request &Message);
+  void start(const step &Step, queued_task Task);
+  void askToStop(const step &Step, const task_id &Task);
+  bool hasResourcesFor(const std::string &Class) const;
+  const class_spec *findClass(const std::string &Name) const;
+  void refuse(const step &Step, const task_id &Task, not_started_reason Reason);
+  /// Records, keeps and sends an end.
+  void finish(const step &Step, const task_id &Task, task_end End,
+              duration RunTime = {});
+  void send(const entry_peer &Peer, peer_message Message);
+
+  const options &Options;
+  const configuration &Configuration;
+  entry_registry &Entries;
+  entry_links &Links;
+  const endpoint_monitor &Endpoint;
+  task_queue Queue;
+  std::unordered_map<task_id, running_task> Running;
+  std::uint64_t UsedMemoryBytes = 0;
+  std::uint32_t UsedAccelerators = 0;
+  std::uint64_t Started = 0;
+  companion_load Load;
+};
+
+} // namespace crocuswood::companion
--- /dev/null
+++ b/packages/companion/src/task_queue.cpp
@@ -0,0 +1,69 @@
+#include "task_queue.h"
+
+namespace crocuswood::companion {
+
+void task_queue::add(queued_task Task) {
+  const task_id Id = Task.Placement.Task;
+  const position Position{Task.StartBy, NextNumber++};
+  RunTime += Task.Placement.ExpectedRunTime;
+  if (Task.Deadline) {
+    Deadlines.emplace(*Task.Deadline, Id);
+  }
+  Positions.emplace(Id, Position);
+  Order.emplace(Position, std::move(Task));
+}
+
+std::optional<queued_task> task_queue::remove(const task_id &Task) {
+  const auto Position = Positions.find(Task);
+  if (Position == Positions.end()) {
+    return std::nullopt;
+  }
+  const auto Place = Order.find(Position->second);
+  queued_task Removed = std::move(Place->second);
+  RunTime -= Removed.Placement.ExpectedRunTime;
+  if (Removed.Deadline) {
+    Deadlines.erase({*Removed.Deadline, Removed.Placement.Task});
+  }
+  Order.erase(Place);
+  Positions.erase(Position);
+  return Removed;
+}
+
+const queued_task *task_queue::getFirst() const {
+  return Order.empty() ? nullptr : &Order.begin()->second;
+}
+
+std::optional<task_id> task_queue::findExpired(instant Now) const {
+  if (Deadlines.empty() || Deadlines.begin()->first > Now) {
+    return std::nullopt;
+  }
+  return Deadlines.begin()->second;
+}
+
+std::optional<instant> task_queue::getNextDeadline() const {
+  if (Deadlines.empty()) {
+    return std::nullopt;
+  }
+  return Deadlines.begin()->first;
+}
+
+std::vector<task_id> task_queue::listTasks() const {
+  std::vector<task_id> Tasks;
+  Tasks.reserve(Order.size());
+  for (const auto &[Position, Task] : Order) {
+    Tasks.push_back(Task.Placement.Task);
+  }
+  return Tasks;
+}
+
+std::vector<task_id> task_queue::listTasks(incarnation Entry) const {
+  std::vector<task_id> Tasks;
+  for (const auto &[Position, Task] : Order) {
+    if (Task.Placement.Task.Job.Entry == Entry) {
+      Tasks.push_back(Task.Placement.Task);
+    }
+  }
+  return Tasks;
+}
+
+} // namespace crocuswood::companion
--- /dev/null
+++ b/packages/companion/src/task_queue.h
@@ -0,0 +1,56 @@
+/// \file
+/// Tasks that wait for a slot.
+#pragma once
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace crocuswood::companion {
+
+/// A placed task that has not started.
+struct queued_task {
+  place_task Placement;
+  instant StartBy; ///< When it must start to meet its target.
+  std::optional<instant> Deadline;
+};
+
+/// Waiting tasks, the least slack first.
+class task_queue {
+public:
+  void add(queued_task Task);
+  /// \returns nothing if \p Task is not queued.
+  std::optional<queued_task> remove(const task_id &Task);
+  bool contains(const task_id &Task) const { return Positions.contains(Task); }
+  /// \returns null when the queue is empty.
+  const queued_task *getFirst() const;
+  /// \returns a task whose deadline is not after \p Now.
+  std::optional<task_id> findExpired(instant Now) const;
+  std::optional<instant> getNextDeadline() const;
+  /// \returns all tasks in the order of their slack.
+  std::vector<task_id> listTasks() const;
+  /// \returns the tasks of one entry in the order of their slack.
+  std::vector<task_id> listTasks(incarnation Entry) const;
+  std::uint32_t getSize() const {
+    return static_cast<std::uint32_t>(Order.size());
+  }
+  /// \returns the expected run time of all tasks together.
+  duration getRunTime() const { return RunTime; }
+
+private:
+  using position = std::pair<instant, std::uint64_t>;
+
+  std::map<position, queued_task> Order;
+  std::unordered_map<task_id, position> Positions;
+  std::set<std::pair<instant, task_id>> Deadlines;
+  std::uint64_t NextNumber = 0;
+  duration RunTime{};
+};
+
+} // namespace crocuswood::companion
