--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -29,6 +30,11 @@
   friend auto operator<=>(const peer_address &, const peer_address &) = default;
 };
 
+/// \returns `HOST:PORT`.
+std::string toString(const peer_address &Address);
+/// \returns nothing if \p Text is not `HOST:PORT` with a number for the port.
+std::optional<peer_address> parsePeerAddress(std::string_view Text);
+
 /// Whether the endpoint beside a companion takes work.
 enum class endpoint_state : std::uint8_t {
   Absent,  ///< No endpoint has announced itself, or it fell silent.
@@ -79,9 +85,10 @@
   std::uint32_t Version = PeerProtocolVersion;
   process_id Entry;
   std::string Zone; ///< Availability zone.
+  peer_address Operators; ///< Its operators' port.
   std::uint64_t ConfigurationRevision = 0;
-  std::vector<peer_address>
-      KnownEntries; ///< Addresses of all entries, its own included.
+  /// Addresses of all entries, its own included.
+  std::vector<peer_address> KnownEntries;
 
   friend bool operator==(const entry_hello &, const entry_hello &) = default;
 };
@@ -131,7 +138,7 @@
   duration Slack{}; ///< Time left until the task must start to meet its target.
   duration ExpectedRunTime{}; ///< The entry's estimate.
   std::optional<duration>
-      Deadline;              ///< After this the task must not start any more.
+      Deadline; ///< After this the task must not start any more.
   std::uint32_t Backlog = 0; ///< Tasks that still wait at the entry.
 
   friend bool operator==(const place_task &, const place_task &) = default;
