Add the daemon: duties, rings and both roles

Cause: the packages stand apart until processes join them. Change: one thread for each duty, joined by bounded rings; items that find a ring full wait at the producer, and meanwhile no new work is taken; time line, metrics and log on the operators' thread; planned stops end jobs first, then answers, claims, links.

--- /dev/null
+++ b/programs/crocuswoodd/decision_duty.cpp
@@ -0,0 +1,159 @@
+#include "decision_duty.h"
+
+#include "asio.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace crocuswood::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// How soon a full ring is tried again.
+constexpr duration RetryInterval = 500us;
+
+// How often the state is published to the operators' port.
+constexpr duration PublishInterval = 500ms;
+
+} // namespace
+
+class decision_duty::timers {
+public:
+  explicit timers(boost::asio::io_context &Context)
+      : Wake(Context), Retry(Context), Publish(Context) {}
+
+  boost::asio::steady_timer Wake;
+  boost::asio::steady_timer Retry;
+  boost::asio::steady_timer Publish;
+};
+
+decision_duty::decision_duty(rings::duty &Duty, const clock_port &Clock,
+                             const process_id &Self, decision_rings Rings)
+    : Duty(Duty), Clock(Clock), Rings(Rings), Recorder(Self, Clock),
+      ToLinks(Rings.ToLinks), ToObserver(Rings.ToObserver),
+      Timers(std::make_unique<timers>(Duty.getContext())) {}
+
+decision_duty::~decision_duty() = default;
+
+void decision_duty::attach() {
+  Recorder.record({.Kind = event_kind::ProcessStarted});
+  Duty.setDrain([this] { turn(); });
+  // The first turn lets the core ask for its first wake-up.
+  Duty.post([this] {
+    takeTimer(Clock.now());
+    turn();
+  });
+}
+
+void decision_duty::turn() {
+  const instant Now = Clock.now();
+  const bool TakeNewWork = flush();
+  bool MoreLeft = takeSharedItems(Now);
+  MoreLeft = takeOwnItems(Now, TakeNewWork) || MoreLeft;
+  finishTurn(Now);
+  publish(Now);
+  std::vector<timeline_event> Events = Recorder.takeEvents();
+  if (!Events.empty()) {
+    ToObserver.push(std::move(Events));
+  }
+  if (!flush()) {
+    armRetry();
+  }
+  armWake(Now);
+  if (MoreLeft) {
+    Duty.getSignal().raise();
+  }
+}
+
+bool decision_duty::takeSharedItems(instant Now) {
+  operators_item Asked;
+  while (Rings.FromOperators.tryPop(Asked)) {
+    Recorder.record({.Kind = event_kind::ProcessStopping});
+    takeStop(Now);
+  }
+  link_item Item;
+  std::size_t Taken = 0;
+  while (Taken < MaxItemsPerTurn && Rings.FromLinks.tryPop(Item)) {
+    ++Taken;
+    if (const auto *Received = std::get_if<link_received>(&Item)) {
+      Recorder.observe(Received->Envelope.Sent);
+    }
+    takeLinkItem(Now, std::move(Item));
+  }
+  return Taken == MaxItemsPerTurn;
+}
+
+bool decision_duty::flush() {
+  const bool LinksFlushed = ToLinks.flush();
+  const bool ObserverFlushed = ToObserver.flush();
+  return flushOwn() && LinksFlushed && ObserverFlushed;
+}
+
+void decision_duty::armRetry() {
+  Timers->Retry.expires_after(RetryInterval);
+  Timers->Retry.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      turn();
+    }
+  });
+}
+
+void decision_duty::armWake(instant Now) {
+  if (!WakeChanged || !WakeTime) {
+    return;
+  }
+  WakeChanged = false;
+  Timers->Wake.expires_after(std::max(*WakeTime - Now, duration::zero()));
+  Timers->Wake.async_wait([this](const boost::system::error_code &Error) {
+    if (Error) {
+      return;
+    }
+    takeTimer(Clock.now());
+    turn();
+  });
+}
+
+void decision_duty::publish(instant Now) {
+  if (PublishedAt && Now - *PublishedAt < PublishInterval) {
+    return;
+  }
+  PublishedAt = Now;
+  ToObserver.push(published_status{.Status = getStatus(),
+                                   .Configuration = getConfiguration()});
+  Timers->Publish.expires_after(PublishInterval);
+  Timers->Publish.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      turn();
+    }
+  });
+}
+
+void decision_duty::dial(link_id Link, const peer_address &Remote) {
+  ToLinks.push(dial_link{.Link = Link, .Remote = Remote});
+}
+
+void decision_duty::send(link_id Link, std::vector<peer_message> Messages) {
+  ToLinks.push(write_link{
+      .Link = Link,
+      .Envelope = {.Sent = Recorder.stamp(), .Messages = std::move(Messages)}});
+}
+
+void decision_duty::close(link_id Link) {
+  ToLinks.push(drop_link{.Link = Link});
+}
+
+void decision_duty::wakeAt(instant At) {
+  WakeTime = At;
+  WakeChanged = true;
+}
+
+void decision_duty::reportFinished() {
+  Recorder.record({.Kind = event_kind::ProcessStopped});
+  ToObserver.push(Recorder.takeEvents());
+  ToObserver.push(decisions_finished{});
+}
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/endpoint_duty.cpp
@@ -0,0 +1,110 @@
+#include "endpoint_duty.h"
+
+#include "json_errors.h"
+#include "overloaded.h"
+
+#include <utility>
+
+namespace crocuswood::daemon {
+
+namespace {
+
+// Announcements are small.
+constexpr http::server_limits AnnouncementLimits{.MaxConnections = 64,
+                                                 .MaxBodyBytes = 64U * 1024};
+
+endpoint_item toItem(const task_id &Task, endpoint_outcome Outcome) {
+  return std::visit(
+      overloaded{[&](endpoint_completed &Completed) -> endpoint_item {
+                   return companion::run_completed{
+                       .Task = Task, .Output = std::move(Completed.Output)};
+                 },
+                 [&](endpoint_failed &Failed) -> endpoint_item {
+                   return companion::run_failed{
+                       .Task = Task, .Reason = std::move(Failed.Reason)};
+                 },
+                 [&](endpoint_not_reached &NotReached) -> endpoint_item {
+                   return companion::run_not_reached{
+                       .Task = Task, .Reason = std::move(NotReached.Reason)};
+                 },
+                 [&](endpoint_lost &Lost) -> endpoint_item {
+                   return companion::run_lost{.Task = Task,
+                                              .Reason = std::move(Lost.Reason)};
+                 }},
+      Outcome);
+}
+
+} // namespace
+
+endpoint_duty::endpoint_duty(rings::duty &Duty, duration RunLimit,
+                             rings::ring<endpoint_item> &ToDecisions,
+                             rings::ring<endpoint_command> &FromDecisions)
+    : ToDecisions(ToDecisions), FromDecisions(FromDecisions),
+      Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
+      Announcements(Duty.getContext(), AnnouncementLimits,
+                    [this](const http::plain_request &Request,
+                           const http::plain_server::respond &Respond) {
+                      serve(Request, Respond);
+                    }),
+      Endpoint(Duty.getContext(), RunLimit) {
+  Duty.setDrain([this] { takeCommands(); });
+}
+
+checked<std::uint16_t> endpoint_duty::listen(const peer_address &Address) {
+  return Announcements.listen(Address);
+}
+
+void endpoint_duty::serve(const http::plain_request &Request,
+                          const http::plain_server::respond &Respond) {
+  if (Request.Path != "/v1/announce") {
+    Respond(makeError(404, "not_found", "There is only /v1/announce here."));
+    return;
+  }
+  if (Request.Method != "POST") {
+    Respond(makeError(405, "method_not_allowed",
+                      "Announcements are sent with POST."));
+    return;
+  }
+  auto Parsed = http::parseAnnouncement(Request.Body);
+  if (const auto *Faults = std::get_if<findings>(&Parsed)) {
+    Respond(makeError(400, "invalid_request", "The announcement has faults.",
+                      *Faults));
+    return;
+  }
+  auto &Announcement = std::get<companion::endpoint_announcement>(Parsed);
+  push(companion::endpoint_announced{.Announcement = std::move(Announcement)});
+  Respond({.Status = 204});
+}
+
+void endpoint_duty::takeCommands() {
+  endpoint_command Command;
+  while (FromDecisions.tryPop(Command)) {
+    std::visit(overloaded{[&](companion::start_task &Start) {
+                            start(std::move(Start));
+                          },
+                          [&](const companion::stop_task &Stop) {
+                            Endpoint.stop(Stop.Endpoint, Stop.Task);
+                          }},
+               Command);
+  }
+}
+
+void endpoint_duty::start(companion::start_task Start) {
+  const task_id Task = Start.Task;
+  endpoint_call Call{.Task = Task,
+                     .Class = std::move(Start.Class),
+                     .Input = std::move(Start.Input)};
+  Endpoint.run(Start.Endpoint, std::move(Call),
+               [this, Task](endpoint_outcome Outcome) {
+                 push(toItem(Task, std::move(Outcome)));
+               });
+}
+
+void endpoint_duty::push(endpoint_item Item) {
+  ToDecisions.push(std::move(Item));
+  if (ToDecisions.isBlocked()) {
+    Retry.arm();
+  }
+}
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -0,0 +1,209 @@
+#include "entry_daemon.h"
+
+#include "daemon.h"
+#include "entry_decisions.h"
+#include "front_duty.h"
+#include "link_duty.h"
+#include "log.h"
+#include "observer_duty.h"
+#include "platform_duty.h"
+#include "system_clock.h"
+
+#include <chrono>
+#include <future>
+
+namespace crocuswood::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t JobRing = 4'096;
+constexpr std::size_t LinkRing = 4'096;
+constexpr std::size_t SmallRing = 1'024;
+
+// Bounds of the steps of a planned stop, after every job has ended.
+constexpr duration FrontDrainLimit = 30s;
+constexpr duration PlatformDrainLimit = 40s;
+constexpr duration LinkDrainLimit = 10s;
+
+entry::options makeOptions(const settings::entry_settings &Settings,
+                           incarnation Life) {
+  return {.Self = {.Name = Settings.Process.Name, .Incarnation = Life},
+          .Zone = Settings.Process.Zone,
+          .Operators = Settings.Process.Operators,
+          .Seed = static_cast<std::uint64_t>(Life),
+          .HeartbeatInterval = Settings.Process.HeartbeatInterval,
+          .SilenceLimit = Settings.Process.SilenceLimit,
+          .MaxOutstandingTasks = Settings.MaxOutstandingTasks};
+}
+
+http::server_limits makeFrontLimits(const settings::entry_settings &Settings) {
+  return {.MaxConnections = Settings.MaxConnections,
+          .MaxBodyBytes = Settings.MaxBodyBytes,
+          .IdleLimit = Settings.IdleLimit};
+}
+
+platform::entry_row makeRow(const settings::entry_settings &Settings,
+                            incarnation Life) {
+  return {.Name = Settings.Process.Name,
+          .Incarnation = Life,
+          .Links = Settings.Advertise,
+          .Operators = Settings.Process.Operators};
+}
+
+/// Owns the duties, the rings and what runs on them, in the order of their
+/// dependencies.
+class entry_process {
+public:
+  entry_process(const settings::entry_settings &Settings, incarnation Life);
+  ~entry_process() { stopDuties(); }
+  entry_process(const entry_process &) = delete;
+  entry_process &operator=(const entry_process &) = delete;
+
+  bool listen();
+  int run();
+
+private:
+  void startDuties();
+  void stopDuties();
+  void drain();
+
+  const settings::entry_settings &Settings;
+  system_clock Clock;
+
+  rings::duty FrontThread{"front"};
+  rings::duty DecisionThread{"decisions"};
+  rings::duty LinkThread{"links"};
+  rings::duty PlatformThread{"platform"};
+  rings::duty ObserverThread{"operators"};
+
+  rings::ring<front_item> FrontToDecisions{JobRing, DecisionThread.getSignal()};
+  rings::ring<entry::answer_caller> DecisionsToFront{JobRing,
+                                                     FrontThread.getSignal()};
+  rings::ring<link_item> LinksToDecisions{LinkRing, DecisionThread.getSignal()};
+  rings::ring<link_command> DecisionsToLinks{LinkRing, LinkThread.getSignal()};
+  rings::ring<platform_item> PlatformToDecisions{SmallRing,
+                                                 DecisionThread.getSignal()};
+  rings::ring<platform_command> DecisionsToPlatform{SmallRing,
+                                                    PlatformThread.getSignal()};
+  rings::ring<operators_item> MainToDecisions{SmallRing,
+                                              DecisionThread.getSignal()};
+  rings::ring<observer_item> DecisionsToObserver{SmallRing,
+                                                 ObserverThread.getSignal()};
+  rings::ring<change_asked> ObserverToPlatform{SmallRing,
+                                               PlatformThread.getSignal()};
+  rings::ring<change_item> PlatformToObserver{SmallRing,
+                                              ObserverThread.getSignal()};
+
+  std::promise<void> Finished;
+  front_duty Front;
+  link_duty Links;
+  entry_platform_duty Platform;
+  observer_duty Observer;
+  entry_decisions Decisions;
+};
+
+entry_process::entry_process(const settings::entry_settings &Settings,
+                             incarnation Life)
+    : Settings(Settings), Front(FrontThread, makeFrontLimits(Settings),
+                                FrontToDecisions, DecisionsToFront),
+      Links(LinkThread, {}, LinksToDecisions, DecisionsToLinks),
+      Platform(PlatformThread, Clock, Settings.Process.Platform,
+               {.Poll = Settings.Process.PlatformPollInterval},
+               makeRow(Settings, Life),
+               {.ToDecisions = PlatformToDecisions,
+                .FromDecisions = DecisionsToPlatform,
+                .ToObserver = PlatformToObserver,
+                .FromObserver = ObserverToPlatform}),
+      Observer(ObserverThread,
+               {.Name = Settings.Process.Name, .Incarnation = Life},
+               Settings.Process, DecisionsToObserver,
+               change_rings{.ToPlatform = ObserverToPlatform,
+                            .FromPlatform = PlatformToObserver},
+               [this] { Finished.set_value(); }),
+      Decisions(DecisionThread, Clock, makeOptions(Settings, Life),
+                {.FromLinks = LinksToDecisions,
+                 .ToLinks = DecisionsToLinks,
+                 .FromOperators = MainToDecisions,
+                 .ToObserver = DecisionsToObserver},
+                {.FromFront = FrontToDecisions,
+                 .ToFront = DecisionsToFront,
+                 .FromPlatform = PlatformToDecisions,
+                 .ToPlatform = DecisionsToPlatform}) {}
+
+bool entry_process::listen() {
+  // All of them are tried, so that one start reports every port that is taken.
+  const bool FrontListens = reportListening(Front.listen(Settings.Callers),
+                                            "callers", Settings.Callers);
+  const bool LinksListen =
+      reportListening(Links.listen(Settings.Links), "links", Settings.Links);
+  const peer_address &Operators = Settings.Process.Operators;
+  return reportListening(Observer.listen(Operators), "operators", Operators) &&
+         FrontListens && LinksListen;
+}
+
+void entry_process::startDuties() {
+  Platform.start();
+  Decisions.attach();
+  ObserverThread.start();
+  DecisionThread.start();
+  LinkThread.start();
+  PlatformThread.start();
+  FrontThread.start();
+}
+
+void entry_process::stopDuties() {
+  FrontThread.stop();
+  LinkThread.stop();
+  PlatformThread.stop();
+  DecisionThread.stop();
+  ObserverThread.stop();
+}
+
+int entry_process::run() {
+  startDuties();
+  const bool Ended = waitForStop(
+      [this] { MainToDecisions.tryPush(stop_asked{}); }, Finished.get_future());
+  if (!Ended) {
+    log(log_level::Warn, "entry",
+        "A second signal ends the process before its jobs.");
+    return ExitFailed;
+  }
+  drain();
+  return ExitDone;
+}
+
+void entry_process::drain() {
+  if (!runAndWait(FrontThread, FrontDrainLimit,
+                  [this](std::function<void()> Done) {
+                    Front.drain(std::move(Done));
+                  })) {
+    log(log_level::Warn, "callers",
+        "Some callers have not read their answers.");
+  }
+  if (!runAndWait(PlatformThread, PlatformDrainLimit,
+                  [this](std::function<void()> Done) {
+                    Platform.finish(std::move(Done));
+                  })) {
+    log(log_level::Warn, "platform", "Some outcomes are not stored.");
+  }
+  if (!runAndWait(LinkThread, LinkDrainLimit,
+                  [this](std::function<void()> Done) {
+                    Links.drain(std::move(Done));
+                  })) {
+    log(log_level::Warn, "links", "Some companions have not read everything.");
+  }
+}
+
+} // namespace
+
+int runEntry(const settings::entry_settings &Settings) {
+  entry_process Process(Settings, drawIncarnation());
+  if (!Process.listen()) {
+    return ExitFailed;
+  }
+  return Process.run();
+}
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/entry_daemon.h
@@ -0,0 +1,12 @@
+/// \file
+/// The entry process: its duties and the rings between them.
+#pragma once
+
+#include <crocuswood/settings.h>
+
+namespace crocuswood::daemon {
+
+/// Runs an entry until a planned stop has ended. \returns the exit code.
+int runEntry(const settings::entry_settings &Settings);
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -0,0 +1,133 @@
+#include "entry_decisions.h"
+
+#include "overloaded.h"
+
+#include <utility>
+
+namespace crocuswood::daemon {
+
+entry_decisions::entry_decisions(rings::duty &Duty, const clock_port &Clock,
+                                 const entry::options &Options,
+                                 decision_rings Rings, entry_rings OwnRings)
+    : decision_duty(Duty, Clock, Options.Self, Rings), Core(Options),
+      OwnRings(OwnRings), ToFront(OwnRings.ToFront),
+      ToPlatform(OwnRings.ToPlatform) {}
+
+void entry_decisions::handle(instant Now, entry::event Event) {
+  Core.handle(Now, std::move(Event), Actions);
+}
+
+bool entry_decisions::takeOwnItems(instant Now, bool TakeNewWork) {
+  platform_item FromPlatform;
+  std::size_t Answers = 0;
+  while (Answers < MaxItemsPerTurn &&
+         OwnRings.FromPlatform.tryPop(FromPlatform)) {
+    ++Answers;
+    takePlatformItem(Now, std::move(FromPlatform));
+  }
+  front_item FromFront;
+  std::size_t Requests = 0;
+  while (TakeNewWork && Requests < MaxItemsPerTurn &&
+         OwnRings.FromFront.tryPop(FromFront)) {
+    ++Requests;
+    takeFrontItem(Now, std::move(FromFront));
+  }
+  return Answers == MaxItemsPerTurn || Requests == MaxItemsPerTurn;
+}
+
+void entry_decisions::takeFrontItem(instant Now, front_item Item) {
+  std::visit(
+      overloaded{
+          [&](entry::job_submitted &Submitted) {
+            handle(Now, std::move(Submitted));
+          },
+          [&](entry::job_cancelled &Cancelled) { handle(Now, Cancelled); },
+          [&](const answer_written &Written) {
+            getRecorder().record({.Kind = Written.Delivered
+                                              ? event_kind::AnswerSent
+                                              : event_kind::AnswerDropped,
+                                  .Job = Written.Job,
+                                  .Digest = Written.Digest});
+          }},
+      Item);
+}
+
+void entry_decisions::takePlatformItem(instant Now, platform_item Item) {
+  std::visit(
+      overloaded{[&](store_changed &Changed) {
+                   getRecorder().record({.Kind = Changed.Up
+                                                     ? event_kind::StoreUp
+                                                     : event_kind::StoreDown});
+                 },
+                 [&](change_recorded &Change) {
+                   getRecorder().record(
+                       {.Kind = event_kind::ConfigurationAccepted,
+                        .Value = static_cast<std::int64_t>(Change.Revision)});
+                 },
+                 [&](auto &Event) { handle(Now, std::move(Event)); }},
+      Item);
+}
+
+void entry_decisions::takeLinkItem(instant Now, link_item Item) {
+  std::visit(
+      overloaded{
+          [&](const link_up &Up) {
+            handle(Now, entry::link_opened{.Link = Up.Link});
+          },
+          [&](link_received &Received) {
+            handle(Now, entry::envelope_received{
+                            .Link = Received.Link,
+                            .Messages = std::move(Received.Envelope.Messages)});
+          },
+          [&](link_down &Down) {
+            handle(Now, entry::link_closed{.Link = Down.Link,
+                                           .Reason = std::move(Down.Reason)});
+          }},
+      Item);
+}
+
+void entry_decisions::takeStop(instant Now) {
+  handle(Now, entry::stop_requested{});
+}
+
+void entry_decisions::takeTimer(instant Now) {
+  handle(Now, entry::timer_expired{});
+}
+
+void entry_decisions::finishTurn(instant Now) {
+  Core.flush(Now, Actions);
+  for (entry::action &Action : Actions) {
+    carryOut(std::move(Action));
+  }
+  Actions.clear();
+}
+
+void entry_decisions::carryOut(entry::action Action) {
+  std::visit(
+      overloaded{
+          [&](entry::answer_caller &Answer) {
+            ToFront.push(std::move(Answer));
+          },
+          [&](entry::send_messages &Send) {
+            send(Send.Link, std::move(Send.Messages));
+          },
+          [&](const entry::close_link &Close) { close(Close.Link); },
+          [&](entry::ask_claim &Ask) { ToPlatform.push(std::move(Ask)); },
+          [&](entry::settle_claim &Settle) {
+            ToPlatform.push(std::move(Settle));
+          },
+          [&](const entry::wake_at &Wake) { wakeAt(Wake.At); },
+          [](const entry::configuration_adopted &) {},
+          [&](entry::record_event &Record) {
+            getRecorder().record(std::move(Record.Event));
+          },
+          [&](const entry::stop_finished &) { reportFinished(); }},
+      Action);
+}
+
+bool entry_decisions::flushOwn() {
+  const bool FrontFlushed = ToFront.flush();
+  return ToPlatform.flush() && FrontFlushed;
+}
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/main.cpp
@@ -0,0 +1,125 @@
+// crocuswoodd: the daemon, in the role of an entry or a companion.
+#include "companion_daemon.h"
+#include "daemon.h"
+#include "entry_daemon.h"
+#include "log.h"
+
+#include <crocuswood/settings.h>
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace {
+
+using namespace crocuswood;
+using namespace crocuswood::daemon;
+namespace options = boost::program_options;
+
+struct arguments {
+  std::string Role;
+  std::string SettingsFile;
+};
+
+void printUsage(std::ostream &Out,
+                const options::options_description &Described) {
+  Out << "Usage: crocuswoodd entry|companion --settings FILE\n" << Described;
+}
+
+// Prints what is wrong and returns nothing when the process should end with
+// *Exit.
+std::optional<arguments> parseArguments(int argc, char **argv, int &Exit) {
+  arguments Arguments;
+  options::options_description Described("Options");
+  Described.add_options()("settings", options::value(&Arguments.SettingsFile),
+                          "YAML settings of this process")("help",
+                                                           "show this text");
+  options::options_description All;
+  All.add(Described).add_options()("role", options::value(&Arguments.Role));
+  options::positional_options_description Positions;
+  Positions.add("role", 1);
+  options::variables_map Values;
+  try {
+    options::store(options::command_line_parser(argc, argv)
+                       .options(All)
+                       .positional(Positions)
+                       .run(),
+                   Values);
+    options::notify(Values);
+  } catch (const options::error &Error) {
+    std::cerr << "crocuswoodd: " << Error.what() << '\n';
+    Exit = ExitBadInput;
+    return std::nullopt;
+  }
+  if (Values.count("help") != 0) {
+    printUsage(std::cout, Described);
+    Exit = ExitDone;
+    return std::nullopt;
+  }
+  if ((Arguments.Role != "entry" && Arguments.Role != "companion") ||
+      Arguments.SettingsFile.empty()) {
+    printUsage(std::cerr, Described);
+    Exit = ExitBadInput;
+    return std::nullopt;
+  }
+  return Arguments;
+}
+
+std::optional<std::string> readFile(const std::string &Name) {
+  std::ifstream File(Name);
+  if (!File) {
+    std::cerr << Name << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+template <class Settings, class Run>
+int runWith(const checked<Settings> &Parsed, Run RunRole) {
+  if (const auto *Faults = std::get_if<findings>(&Parsed)) {
+    std::cerr << toString(*Faults);
+    return ExitBadInput;
+  }
+  const auto &Valid = std::get<Settings>(Parsed);
+  const log_setup Log(Valid.Process.Log);
+  return RunRole(Valid);
+}
+
+int run(int argc, char **argv) {
+  int Exit = ExitDone;
+  const std::optional<arguments> Arguments = parseArguments(argc, argv, Exit);
+  if (!Arguments) {
+    return Exit;
+  }
+  const std::optional<std::string> Text = readFile(Arguments->SettingsFile);
+  if (!Text) {
+    return ExitBadInput;
+  }
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  if (Arguments->Role == "entry") {
+    return runWith(settings::parseEntry(*Text, Arguments->SettingsFile),
+                   runEntry);
+  }
+  return runWith(settings::parseCompanion(*Text, Arguments->SettingsFile),
+                 runCompanion);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception &Error) {
+    std::cerr << "crocuswoodd: " << Error.what() << '\n';
+    return ExitFailed;
+  }
+}
