--- /dev/null
+++ b/packages/entry/src/class_table.h
@@ -0,0 +1,50 @@
+/// \file
+/// Classes and teams by small numbers.
+#pragma once
+
+#include "job.h"
+#include "run_time_estimate.h"
+
+#include <crocuswood/entry.h>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// A class as the entry knows it.
+struct work_class {
+  class_spec Spec;
+  bool Configured = false; ///< False once an operator has removed it.
+  class_status Counters;
+  run_time_estimate RunTimes;
+
+  /// \returns the expected run time of a task.
+  duration expect(std::optional<duration> Declared) const;
+};
+
+/// Keeps classes by index. An index stays valid for the life of the table.
+class class_table {
+public:
+  /// Takes the classes of a new configuration.
+  void update(const configuration &Configuration);
+
+  /// \returns the configured class called \p Name.
+  std::optional<class_index> find(const std::string &Name) const;
+
+  work_class &operator[](class_index Index) { return Classes[Index]; }
+  const work_class &operator[](class_index Index) const {
+    return Classes[Index];
+  }
+  class_index getCount() const {
+    return static_cast<class_index>(Classes.size());
+  }
+
+private:
+  std::vector<work_class> Classes;
+  std::unordered_map<std::string, class_index> Names;
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/companion_record.h
@@ -0,0 +1,50 @@
+/// \file
+/// What an entry knows of one companion.
+#pragma once
+
+#include "job.h"
+#include "outbox.h"
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// A companion from its first hello until it is lost.
+struct companion_record {
+  process_id Id;
+  std::string Zone;
+  peer_address Operators;
+  endpoint_report Endpoint;
+  companion_load Load; ///< As last heard.
+  std::uint64_t ConfigurationRevision = 0;
+  std::uint32_t Entries = 0; ///< Live entries, as last heard.
+
+  std::optional<link_id> Link;
+  instant LinkLostAt; ///< While there is no link.
+  instant HeardAt;
+  instant SentAt;
+
+  std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
+  std::deque<instant> Unseen;        ///< Times of placements that the last load
+                                     ///< heard can't have counted.
+  duration RoundTrip{}; ///< From a placement to its effect on a load.
+  std::uint64_t UsedMemoryBytes = 0; ///< By the outstanding tasks.
+  std::uint32_t UsedAccelerators = 0;
+
+  bool SetAside = false;
+  std::uint32_t Allowed = 0; ///< Most outstanding tasks while it is not
+                             ///< trusted in full.
+  bool ReportUnused = false; ///< A load report led to no placement yet.
+
+  outbox Outbox;
+  bool Dirty = false;               ///< In the list of companions to flush.
+  bool InUse = false;               ///< False for a free place of the table.
+  std::vector<process_id> Replaced; ///< Earlier incarnations, refused.
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/companion_table.h
@@ -0,0 +1,88 @@
+/// \file
+/// Companions by name and by link, and the tasks on them.
+#pragma once
+
+#include "capacity_index.h"
+#include "class_table.h"
+#include "companion_record.h"
+
+#include <crocuswood/entry.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// Owns what is known of every companion and keeps the capacity index in step.
+class companion_table {
+public:
+  companion_table(const class_table &Classes, std::string Zone);
+
+  companion_record &operator[](companion_index Index) { return Records[Index]; }
+  const companion_record &operator[](companion_index Index) const {
+    return Records[Index];
+  }
+  const capacity_index &getCapacity() const { return Capacity; }
+  /// Companions by name.
+  const std::map<std::string, companion_index> &getNames() const {
+    return Names;
+  }
+
+  /// \returns NoCompanion if nobody of this name is known.
+  companion_index find(const std::string &Name) const;
+  /// \returns NoCompanion if the link is not that of a known companion.
+  companion_index find(link_id Link) const;
+  /// Adds a companion that is not known yet.
+  companion_index add(const process_id &Id);
+  /// Forgets a companion without outstanding tasks.
+  void remove(companion_index Index);
+
+  void attachLink(companion_index Index, link_id Link);
+  void detachLink(companion_index Index, instant Now);
+
+  /// Notes that \p Task is on the companion from now on.
+  void assign(const task_ref &Task, companion_index Index, instant Now);
+  /// Notes that \p Task is no longer on its companion.
+  void release(const task_ref &Task);
+  /// Notes the slot that a task will keep although nobody waits for it.
+  void takeLoad(companion_index Index, const companion_load &Load, instant Now);
+
+  /// Recomputes which classes the companion can run, after a change of its
+  /// link, its endpoint, its standing or the configuration.
+  void refreshClasses(companion_index Index);
+  void refreshAllClasses();
+  /// Recomputes the room of the companion.
+  void refreshRoom(companion_index Index);
+
+  /// \returns whether the companion has what another task of \p Class needs.
+  bool hasNeeds(companion_index Index, class_index Class) const;
+  /// \returns tasks that the companion has by the entry's estimate.
+  std::uint32_t estimateTasks(companion_index Index) const;
+  /// \returns slots of all linked and serving companions that run \p Class.
+  std::uint32_t countSlots(class_index Class) const;
+  /// \returns entries that share the companions, this one included.
+  std::uint32_t countEntries() const;
+
+  /// Puts the companion into the list of those to flush.
+  outbox &openOutbox(companion_index Index);
+  std::vector<companion_index> takeDirty();
+
+private:
+  bool mayServe(const companion_record &Record) const;
+  std::vector<class_index> runnableClasses(const companion_record &R) const;
+  std::int32_t roomOf(const companion_record &Record) const;
+
+  const class_table &Classes;
+  std::string Zone;
+  std::vector<companion_record> Records;
+  std::vector<companion_index> Free;
+  std::map<std::string, companion_index> Names;
+  std::unordered_map<std::uint64_t, companion_index> Links;
+  capacity_index Capacity;
+  std::vector<companion_index> DirtyList;
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/core_implementation.cpp
@@ -0,0 +1,138 @@
+#include "core_implementation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::entry {
+
+namespace {
+
+// Time limits are checked this many times in a heartbeat interval.
+constexpr int ChecksPerHeartbeat = 2;
+
+template <class... Handlers> struct overloads : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers> overloads(Handlers...) -> overloads<Handlers...>;
+
+} // namespace
+
+core::implementation::implementation(options Given)
+    : State(std::move(Given)), Claims(State), Jobs(State, Claims),
+      Ends(State, Jobs), Configurations(State),
+      Links(State, Ends, Configurations), Dispatcher(State) {}
+
+void core::implementation::handle(instant Now, event Event,
+                                  std::vector<action> &Actions) {
+  State.Sink.begin(Now, Actions);
+  dispatchEvent(Event);
+  Jobs.expireTimers();
+  if (Now >= NextCheck) {
+    checkTimes();
+  }
+  Dispatcher.run();
+  checkStop();
+  scheduleWake();
+}
+
+void core::implementation::flush(instant Now, std::vector<action> &Actions) {
+  State.Sink.begin(Now, Actions);
+  Links.flush();
+}
+
+void core::implementation::dispatchEvent(event &Event) {
+  std::visit(
+      overloads{
+          [&](job_submitted &Each) { Jobs.submit(std::move(Each)); },
+          [&](const job_cancelled &Each) { Jobs.cancel(Each); },
+          [&](const link_opened &Each) { Links.open(Each.Link); },
+          [&](envelope_received &Each) {
+            Links.receive(Each.Link, std::move(Each.Messages));
+          },
+          [&](const link_closed &Each) { Links.close(Each.Link, Each.Reason); },
+          [&](const configuration_read &Each) {
+            Configurations.offer(Each.Configuration);
+          },
+          [&](entries_read &Each) {
+            Configurations.takeEntries(std::move(Each.Entries));
+          },
+          [&](const claim_answered &Each) { Jobs.takeClaim(Each); },
+          [&](const claim_settled &Each) { Claims.noteSettled(Each); },
+          [&](const timer_expired &) { WakeAt.reset(); },
+          [&](const stop_requested &) { requestStop(); }},
+      Event);
+}
+
+void core::implementation::checkTimes() {
+  NextCheck =
+      State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
+  Links.checkTimes();
+  Claims.retryUnsettled();
+  State.Teams.setEntries(State.Companions.countEntries(), State.now());
+}
+
+void core::implementation::requestStop() {
+  if (State.Stopping) {
+    return;
+  }
+  State.Stopping = true;
+  Links.announceStop();
+}
+
+void core::implementation::checkStop() {
+  if (!State.Stopping || StopReported || State.Jobs.getCount() > 0 ||
+      !Claims.isSettled()) {
+    return;
+  }
+  StopReported = true;
+  State.Sink.push(stop_finished{});
+}
+
+void core::implementation::scheduleWake() {
+  instant Next = NextCheck;
+  if (const auto Timer = State.Jobs.getNextTimer()) {
+    Next = std::min(Next, *Timer);
+  }
+  if (const auto Ready = Dispatcher.getNextTime()) {
+    Next = std::min(Next, *Ready);
+  }
+  if (WakeAt && *WakeAt == Next) {
+    return;
+  }
+  WakeAt = Next;
+  State.Sink.push(wake_at{.At = Next});
+}
+
+status core::implementation::getStatus() const {
+  status Status{.Stopping = State.Stopping,
+                .ConfigurationRevision = State.Configuration.Revision,
+                .WastedMessages = State.Messages.Wasted,
+                .SentMessages = State.Messages.Sent,
+                .ReceivedMessages = State.Messages.Received,
+                .Heartbeats = State.Messages.Heartbeats};
+  bool Serving = false;
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    const companion_record &Record = State.Companions[Index];
+    Serving = Serving ||
+              (Record.Link && Record.Endpoint.State == endpoint_state::Serving);
+    Status.Companions.push_back(
+        {.Name = Name,
+         .Zone = Record.Zone,
+         .Operators = Record.Operators,
+         .Linked = Record.Link.has_value(),
+         .SetAside = Record.SetAside,
+         .Endpoint = Record.Endpoint,
+         .Load = Record.Load,
+         .Outstanding = static_cast<std::uint32_t>(Record.Outstanding.size())});
+  }
+  for (class_index Index = 0; Index < State.Classes.getCount(); ++Index) {
+    const work_class &Class = State.Classes[Index];
+    class_status Counters = Class.Counters;
+    Counters.WaitingTasks = State.Queue.getCount(Index);
+    Status.Classes[Class.Spec.Name] = Counters;
+  }
+  Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Stopping;
+  return Status;
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/core_implementation.h
@@ -0,0 +1,49 @@
+/// \file
+/// The decision core's parts put together.
+#pragma once
+
+#include "claim_manager.h"
+#include "configuration_keeper.h"
+#include "dispatcher.h"
+#include "entry_state.h"
+#include "job_manager.h"
+#include "link_manager.h"
+#include "task_ends.h"
+
+#include <crocuswood/entry.h>
+
+#include <optional>
+
+namespace crocuswood::entry {
+
+/// Hands events to the parts and keeps the wake-up time.
+class core::implementation {
+public:
+  explicit implementation(options Options);
+
+  void handle(instant Now, event Event, std::vector<action> &Actions);
+  void flush(instant Now, std::vector<action> &Actions);
+  status getStatus() const;
+  const configuration &getConfiguration() const { return State.Configuration; }
+  std::vector<peer_address> getEntries() const { return State.Entries; }
+
+private:
+  void dispatchEvent(event &Event);
+  void checkTimes();
+  void checkStop();
+  void scheduleWake();
+  void requestStop();
+
+  entry_state State;
+  claim_manager Claims;
+  job_manager Jobs;
+  task_ends Ends;
+  configuration_keeper Configurations;
+  link_manager Links;
+  dispatcher Dispatcher;
+  instant NextCheck;
+  std::optional<instant> WakeAt; ///< As last asked for.
+  bool StopReported = false;
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/dispatcher.cpp
@@ -0,0 +1,166 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+
+namespace crocuswood::entry {
+
+dispatcher::dispatcher(entry_state &State)
+    : State(State),
+      Policy(makePolicy(State.Options.Policy, State.Options.Seed)) {}
+
+void dispatcher::run() {
+  admitReadyTeams();
+  if (State.Queue.getCount() == 0 && State.Retries.isEmpty()) {
+    return;
+  }
+  Blocked.assign(State.Classes.getCount(), false);
+  runRetries();
+  while (true) {
+    auto Choice = chooseOnTime();
+    if (!Choice) {
+      Choice = chooseLate();
+    }
+    if (!Choice) {
+      return;
+    }
+    if (!placeNext(*Choice)) {
+      Blocked[Choice->Job->Class] = true;
+    }
+  }
+}
+
+std::optional<instant> dispatcher::getNextTime() const {
+  return State.Teams.getNextReady(State.now());
+}
+
+void dispatcher::admitReadyTeams() {
+  while (job *Job = State.Teams.takeReady(State.now())) {
+    State.Queue.add(*Job, Job->ExpectedRunTime);
+  }
+}
+
+void dispatcher::runRetries() {
+  std::size_t Left = State.Retries.getCount();
+  State.Retries.noteTime(State.now());
+  while (Left > 0 && State.Retries.hasBudget()) {
+    --Left;
+    const task_id Id = State.Retries.take();
+    job *Job = State.Jobs.find(Id.Job);
+    if (Job == nullptr || Job->Tasks[Id.Index].State != task_state::Waiting) {
+      continue;
+    }
+    if (!placeRetry({.Job = Job, .Index = Id.Index})) {
+      State.Retries.add(Id);
+    }
+  }
+}
+
+bool dispatcher::placeRetry(const task_ref &Task) {
+  const companion_index Companion = findCompanion(Task);
+  if (Companion == NoCompanion) {
+    return false;
+  }
+  State.Retries.spend();
+  place(Task, Companion,
+        Task.Job->Arrival + State.Classes[Task.Job->Class].Spec.AnswerWithin -
+            Task.Job->ExpectedRunTime);
+  return true;
+}
+
+std::optional<dispatcher::choice> dispatcher::chooseOnTime() const {
+  std::optional<choice> Best;
+  for (class_index Class = 0; Class < State.Queue.getClassCount(); ++Class) {
+    if (Blocked[Class]) {
+      continue;
+    }
+    const auto Front =
+        State.Queue.getFront(Class, State.Classes[Class].Spec.AnswerWithin);
+    if (Front && (!Best || Front->Due < Best->Due)) {
+      Best = choice{.Job = Front->Job, .Due = Front->Due};
+    }
+  }
+  return Best;
+}
+
+std::optional<dispatcher::choice> dispatcher::chooseLate() const {
+  std::optional<choice> Best;
+  for (class_index Class = 0; Class < State.Queue.getClassCount(); ++Class) {
+    job *Job = Blocked[Class] ? nullptr : State.Queue.getLateFront(Class);
+    if (Job == nullptr) {
+      continue;
+    }
+    const instant Due = Job->Arrival + State.Classes[Class].Spec.AnswerWithin;
+    if (!Best || Due < Best->Due) {
+      Best = choice{.Job = Job, .Due = Due};
+    }
+  }
+  return Best;
+}
+
+bool dispatcher::placeNext(const choice &Choice) {
+  job &Job = *Choice.Job;
+  const companion_index Companion =
+      findCompanion({.Job = &Job, .Index = Job.NextFresh});
+  if (Companion == NoCompanion) {
+    return false;
+  }
+  if (!State.Teams.takeStart(Job.Team, State.now())) {
+    State.Queue.park(Job);
+    State.Teams.park(Job);
+    return true;
+  }
+  const std::uint32_t Index = State.Queue.take(Job, State.now());
+  State.Retries.notePlacement();
+  place({.Job = &Job, .Index = Index}, Companion, Choice.Due);
+  return true;
+}
+
+companion_index dispatcher::findCompanion(const task_ref &Task) {
+  const job &Job = *Task.Job;
+  const auto MayTake = [&](companion_index Candidate) {
+    if (!State.Companions.hasNeeds(Candidate, Job.Class)) {
+      return false;
+    }
+    const give_back Refusal{.Task = Task.Index,
+                            .Companion = Candidate,
+                            .Incarnation =
+                                State.Companions[Candidate].Id.Incarnation};
+    return std::find(Job.GivenBack.begin(), Job.GivenBack.end(), Refusal) ==
+           Job.GivenBack.end();
+  };
+  const std::function<bool(companion_index)> Filter = std::ref(MayTake);
+  return Policy->choose({.Class = Job.Class,
+                         .Waiting = State.Queue.getCount(),
+                         .Companions = State.Companions,
+                         .MayTake = Filter});
+}
+
+void dispatcher::place(const task_ref &Task, companion_index Companion,
+                       instant Due) {
+  job &Job = *Task.Job;
+  task &Placed = Task.get();
+  const work_class &Class = State.Classes[Job.Class];
+  --Job.Waiting;
+  ++Job.Placed;
+  Placed.Written = false;
+  Placed.Withdrawn = false;
+  State.Teams.addWaiting(Job.Team, -1);
+  State.Companions.assign(Task, Companion, State.now());
+  place_task Message{.Task = Task.getId(),
+                     .Class = Class.Spec.Name,
+                     .Input = Placed.Bytes,
+                     .Slack = Due - State.now(),
+                     .ExpectedRunTime = Class.expect(Placed.DeclaredRunTime)};
+  if (Job.Deadline) {
+    Message.Deadline = *Job.Deadline - State.now();
+  }
+  State.Companions.openOutbox(Companion).addPlacement(
+      {.Task = Task, .Message = std::move(Message)});
+  companion_record &Record = State.Companions[Companion];
+  if (Record.ReportUnused) {
+    Record.ReportUnused = false;
+    --State.Messages.Wasted;
+  }
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/dispatcher.h
@@ -0,0 +1,46 @@
+/// \file
+/// Places waiting tasks on companions.
+#pragma once
+
+#include "entry_state.h"
+#include "placement_policy.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// Takes the most urgent tasks and places them while the policy finds room.
+class dispatcher {
+public:
+  explicit dispatcher(entry_state &State);
+
+  /// Places what can be placed now.
+  void run();
+  /// \returns when tasks held back by a quota may go on.
+  std::optional<instant> getNextTime() const;
+
+private:
+  /// A job chosen to be placed next.
+  struct choice {
+    job *Job = nullptr;
+    instant Due;
+  };
+
+  void admitReadyTeams();
+  void runRetries();
+  bool placeRetry(const task_ref &Task);
+  std::optional<choice> chooseOnTime() const;
+  std::optional<choice> chooseLate() const;
+  /// \returns false if no companion has room for the class of \p Choice.
+  bool placeNext(const choice &Choice);
+  companion_index findCompanion(const task_ref &Task);
+  void place(const task_ref &Task, companion_index Companion, instant Due);
+
+  entry_state &State;
+  std::unique_ptr<placement_policy> Policy;
+  std::vector<bool> Blocked; ///< Classes without room in the current run.
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/entry_state.cpp
@@ -0,0 +1,11 @@
+#include "entry_state.h"
+
+#include <utility>
+
+namespace crocuswood::entry {
+
+entry_state::entry_state(options Given)
+    : Options(std::move(Given)), Jobs(Options.Self.Incarnation),
+      Companions(Classes, Options.Zone) {}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/entry_state.h
@@ -0,0 +1,52 @@
+/// \file
+/// What the parts of the decision core share.
+#pragma once
+
+#include "action_sink.h"
+#include "class_table.h"
+#include "companion_table.h"
+#include "generator.h"
+#include "job_table.h"
+#include "retry_list.h"
+#include "team_table.h"
+#include "waiting_queue.h"
+
+#include <crocuswood/entry.h>
+
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// Counts of messages, heartbeats apart.
+struct message_counts {
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+  std::uint64_t Heartbeats = 0;
+  std::uint64_t Wasted = 0;
+};
+
+/// The tables of one entry. The parts that decide work on them.
+struct entry_state {
+  explicit entry_state(options Given);
+
+  options Options;
+  action_sink Sink;
+  class_table Classes;
+  team_table Teams;
+  job_table Jobs;
+  waiting_queue Queue;
+  retry_list Retries;
+  companion_table Companions;
+  configuration Configuration;
+  std::vector<peer_address> Entries;
+  message_counts Messages;
+  std::uint32_t UnfinishedTasks = 0; ///< Of all jobs: waiting or placed.
+  bool Stopping = false;
+
+  instant now() const { return Sink.now(); }
+  const std::string &companionName(companion_index Index) const {
+    return Companions[Index].Id.Name;
+  }
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/job.h
@@ -0,0 +1,109 @@
+/// \file
+/// A job and its tasks as the entry keeps them until the last task has ended.
+#pragma once
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// Position of a companion in the companion table.
+using companion_index = std::uint32_t;
+/// Position of a class in the class table.
+using class_index = std::uint32_t;
+/// Position of a team in the team table.
+using team_index = std::uint32_t;
+
+constexpr companion_index NoCompanion =
+    std::numeric_limits<companion_index>::max();
+
+/// Where a task stands.
+enum class task_state : std::uint8_t {
+  Waiting,    ///< At the entry; not written to any link.
+  Placed,     ///< On a companion, or on the way to it.
+  Completed,  ///< Its output has been taken.
+  NotStarted, ///< Certainly never started and never will.
+  MayHaveRun, ///< Failed, lost, or its end will never be known.
+};
+
+/// One task of a job.
+struct task {
+  payload Bytes; ///< The input, and after completion the output.
+  std::optional<duration> DeclaredRunTime;
+  instant PlacedAt;
+  companion_index Companion = NoCompanion; ///< While Placed.
+  std::uint32_t Position = 0; ///< While Placed: in the companion's list.
+  task_state State = task_state::Waiting;
+  bool Written = false;   ///< While Placed: the placement has been flushed.
+  bool Withdrawn = false; ///< While Placed: asked back.
+  std::uint8_t Attempts = 0;
+};
+
+/// A companion gave a task back. It must not get it again, since it may take
+/// the second placement for a duplicate.
+struct give_back {
+  std::uint32_t Task = 0;
+  companion_index Companion = NoCompanion;
+  incarnation Incarnation{};
+
+  friend auto operator<=>(const give_back &, const give_back &) = default;
+};
+
+/// Steps of a job's life.
+enum class job_phase : std::uint8_t {
+  Claiming, ///< Waits for the claim; nothing may be placed.
+  Active,   ///< Tasks wait or run.
+  Failing,  ///< The failure is known, its certainty is not yet.
+  Answered, ///< The answer is out; the last tasks have not ended yet.
+};
+
+/// A job between its submission and the end of its last task.
+struct job {
+  job_id Id;
+  request_id Request{};
+  class_index Class = 0;
+  team_index Team = 0;
+  job_phase Phase = job_phase::Active;
+  bool CallerGone = false;
+  bool Accepted = false;     ///< Its tasks could be placed.
+  bool Claimed = false;      ///< The claim row is held by this attempt.
+  bool ClaimPending = false; ///< The claim has been asked for.
+  bool MayHaveRun = false;   ///< Some task has started, or may have.
+  bool Late = false;         ///< Admitted although it can't meet its target.
+  instant Arrival;
+  std::optional<instant> Deadline;
+  std::optional<instant> Timer; ///< Registered with the timers.
+  std::string Key;
+  std::uint64_t RequestDigest = 0;
+  std::optional<job_failure> Failure; ///< From Failing on.
+
+  std::vector<task> Tasks;
+  std::uint32_t NextFresh = 0; ///< Tasks from here on were never placed.
+  std::uint32_t Waiting = 0;   ///< Tasks in the state Waiting.
+  std::uint32_t Placed = 0;
+  std::uint32_t Completed = 0;
+  std::vector<give_back> GivenBack;
+
+  // Kept by the waiting queue.
+  instant ShareSince;          ///< When the current share was let in.
+  std::uint32_t ShareLeft = 0; ///< Tasks left of the current share.
+  duration ExpectedRunTime{};  ///< Of one of its tasks.
+  bool Queued = false;         ///< In the waiting queue.
+  bool Parked = false;         ///< Its team is out of starts.
+};
+
+/// A task of a job by its place in memory.
+struct task_ref {
+  job *Job = nullptr;
+  std::uint32_t Index = 0;
+
+  task &get() const { return Job->Tasks[Index]; }
+  task_id getId() const { return {.Job = Job->Id, .Index = Index}; }
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/job_manager.cpp
@@ -0,0 +1,422 @@
+#include "job_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::entry {
+
+namespace {
+
+// How long an answer that is due waits for the proof that nothing has run.
+constexpr duration CertaintyLimit = std::chrono::milliseconds(250);
+constexpr duration NotReadyRetry = std::chrono::seconds(1);
+
+job_failure notRun(failure_code Code, std::string Reason,
+                   std::optional<duration> RetryAfter = std::nullopt) {
+  return {.Code = Code,
+          .Certainty = run_certainty::NotRun,
+          .Reason = std::move(Reason),
+          .RetryAfter = RetryAfter};
+}
+
+// Codes that tell of load, not of a fault of the request.
+bool isRefusalUnderLoad(failure_code Code) {
+  return Code == failure_code::Overloaded ||
+         Code == failure_code::QuotaExceeded;
+}
+
+} // namespace
+
+job_manager::job_manager(entry_state &State, claim_manager &Claims)
+    : State(State), Claims(Claims) {}
+
+// Submission.
+
+std::optional<job_failure>
+job_manager::findFault(const job_request &Request) const {
+  if (State.Stopping) {
+    return notRun(failure_code::Stopping, "This entry is shutting down.",
+                  NotReadyRetry);
+  }
+  if (State.Configuration.Revision == 0) {
+    return notRun(failure_code::NotReady,
+                  "This entry has no configuration yet.", NotReadyRetry);
+  }
+  const auto Class = State.Classes.find(Request.Class);
+  if (!Class) {
+    return notRun(failure_code::UnknownClass,
+                  "No class is called '" + Request.Class + "'.");
+  }
+  if (!State.Teams.find(Request.Team)) {
+    return notRun(failure_code::UnknownTeam,
+                  "No team is called '" + Request.Team + "'.");
+  }
+  if (Request.Tasks.empty() || Request.Tasks.size() > MaxTasksPerJob) {
+    return notRun(failure_code::InvalidRequest,
+                  "A job has 1 to " + std::to_string(MaxTasksPerJob) +
+                      " tasks.");
+  }
+  if (Request.Deadline && Request.Deadline->count() <= 0) {
+    return notRun(failure_code::InvalidRequest, "The deadline has passed.");
+  }
+  if (!State.Classes[*Class].Spec.Idempotent &&
+      Request.IdempotencyKey.empty()) {
+    return notRun(failure_code::KeyRequired,
+                  "Class '" + Request.Class + "' needs an idempotency key.");
+  }
+  return std::nullopt;
+}
+
+std::optional<job_failure>
+job_manager::findOverload(const job_request &Request) const {
+  if (State.UnfinishedTasks + Request.Tasks.size() >
+      State.Options.MaxOutstandingTasks) {
+    return notRun(failure_code::Overloaded,
+                  "This entry has too many unfinished tasks.", NotReadyRetry);
+  }
+  const class_index Class = *State.Classes.find(Request.Class);
+  const team_index Team = *State.Teams.find(Request.Team);
+  const duration Wait = State.Teams.expectedWait(
+      Team, static_cast<std::uint32_t>(Request.Tasks.size()));
+  if (Wait > State.Classes[Class].Spec.AnswerWithin) {
+    return notRun(failure_code::QuotaExceeded,
+                  "The quota of team '" + Request.Team + "' is used up.", Wait);
+  }
+  return std::nullopt;
+}
+
+void job_manager::submit(job_submitted Event) {
+  const job_id Id = State.Jobs.nextId();
+  const std::uint64_t Digest = digest(Event.Job);
+  State.Sink.record(
+      {.Kind = event_kind::JobSubmitted,
+       .Job = Id,
+       .Class = Event.Job.Class,
+       .Team = Event.Job.Team,
+       .Key = Event.Job.IdempotencyKey,
+       .Digest = Digest,
+       .Value = static_cast<std::int64_t>(Event.Job.Tasks.size())});
+  auto Failure = findFault(Event.Job);
+  if (!Failure) {
+    Failure = findOverload(Event.Job);
+  }
+  if (Failure) {
+    refuse(Id, Event.Request, Event.Job, std::move(*Failure));
+    return;
+  }
+  accept(Id, std::move(Event), Digest);
+}
+
+void job_manager::refuse(const job_id &Id, request_id Request,
+                         const job_request &Job, job_failure Failure) {
+  const auto Class = State.Classes.find(Job.Class);
+  if (Class && isRefusalUnderLoad(Failure.Code)) {
+    ++State.Classes[*Class].Counters.Refused;
+  }
+  State.Sink.record({.Kind = event_kind::JobRefused,
+                     .Job = Id,
+                     .Class = Job.Class,
+                     .Team = Job.Team,
+                     .Code = toString(Failure.Code),
+                     .Reason = Failure.Reason,
+                     .Certainty = toString(Failure.Certainty)});
+  const job_outcome Outcome = std::move(Failure);
+  State.Sink.record(
+      {.Kind = event_kind::AnswerSent, .Job = Id, .Digest = digest(Outcome)});
+  State.Sink.push(answer_caller{.Request = Request,
+                                .Answer = {.Job = Id, .Outcome = Outcome}});
+}
+
+void job_manager::accept(const job_id &Id, job_submitted Event,
+                         std::uint64_t Digest) {
+  job &Job = State.Jobs.add(Id, Event.Request);
+  Job.Class = *State.Classes.find(Event.Job.Class);
+  Job.Team = *State.Teams.find(Event.Job.Team);
+  Job.Arrival = State.now();
+  Job.Key = std::move(Event.Job.IdempotencyKey);
+  Job.RequestDigest = Digest;
+  if (Event.Job.Deadline) {
+    Job.Deadline = Job.Arrival + *Event.Job.Deadline;
+  }
+  Job.Tasks.resize(Event.Job.Tasks.size());
+  for (std::size_t Index = 0; Index < Job.Tasks.size(); ++Index) {
+    Job.Tasks[Index].Bytes = std::move(Event.Job.Tasks[Index].Input);
+    Job.Tasks[Index].DeclaredRunTime = Event.Job.Tasks[Index].DeclaredRunTime;
+  }
+  const auto Count = static_cast<std::uint32_t>(Job.Tasks.size());
+  Job.Waiting = Count;
+  State.UnfinishedTasks += Count;
+  State.Teams.addWaiting(Job.Team, Count);
+  if (State.Classes[Job.Class].Spec.Idempotent) {
+    activate(Job);
+    return;
+  }
+  Job.Phase = job_phase::Claiming;
+  const instant ClaimEnd = State.now() + State.Options.ClaimLimit;
+  State.Jobs.setTimer(Job, std::min(ClaimEnd, Job.Deadline.value_or(ClaimEnd)));
+  Claims.ask(Job);
+}
+
+void job_manager::activate(job &Job) {
+  work_class &Class = State.Classes[Job.Class];
+  ++Class.Counters.Accepted;
+  State.Sink.record({.Kind = event_kind::JobAccepted,
+                     .Job = Job.Id,
+                     .Class = Class.Spec.Name,
+                     .Team = State.Teams.getName(Job.Team)});
+  Job.Accepted = true;
+  Job.Phase = job_phase::Active;
+  State.Jobs.clearTimer(Job);
+  if (Job.Deadline) {
+    State.Jobs.setTimer(Job, *Job.Deadline);
+  }
+  State.Queue.add(Job, Class.expect(Job.Tasks.front().DeclaredRunTime));
+}
+
+// Claims.
+
+void job_manager::takeClaim(const claim_answered &Event) {
+  job *Job = State.Jobs.find(Event.Job);
+  if (Job == nullptr || !Job->ClaimPending) {
+    return;
+  }
+  Job->ClaimPending = false;
+  Job->Claimed = Event.Status == claim_status::Confirmed;
+  if (Job->Claimed) {
+    State.Sink.record(
+        {.Kind = event_kind::ClaimConfirmed, .Job = Job->Id, .Key = Job->Key});
+  }
+  if (Job->Phase != job_phase::Claiming) {
+    // The job was answered before its claim was. The row tells a resubmission
+    // how this attempt ended.
+    if (Job->Claimed) {
+      Claims.settle(*Job, *Job->Failure);
+    }
+    progress(*Job);
+    return;
+  }
+  switch (Event.Status) {
+  case claim_status::Confirmed:
+    activate(*Job);
+    return;
+  case claim_status::Held:
+    takeHeldClaim(*Job, Event);
+    return;
+  case claim_status::Refused:
+    refuseClaim(*Job, "The table service did not take the claim.");
+    return;
+  case claim_status::Unknown:
+    State.Sink.record(
+        {.Kind = event_kind::ClaimUnknown, .Job = Job->Id, .Key = Job->Key});
+    refuseClaim(*Job, "The claim could not be confirmed. This attempt has not "
+                      "run, but its row may block the key.");
+    return;
+  }
+}
+
+void job_manager::takeHeldClaim(job &Job, const claim_answered &Event) {
+  State.Sink.record({.Kind = event_kind::ClaimHeld,
+                     .Job = Job.Id,
+                     .Key = Job.Key,
+                     .Digest = Event.HolderDigest});
+  if (Event.HolderDigest != Job.RequestDigest) {
+    fail(Job, notRun(failure_code::KeyReused,
+                     "The key was used for a different request."));
+    return;
+  }
+  dropWaiting(Job);
+  if (Event.HolderOutcome) {
+    sendAnswer(Job, *Event.HolderOutcome);
+    progress(Job);
+    return;
+  }
+  Job.MayHaveRun = true;
+  fail(Job, {.Code = failure_code::EarlierAttempt,
+             .Reason = "An earlier attempt with this key may have run."});
+}
+
+void job_manager::refuseClaim(job &Job, const std::string &Reason) {
+  fail(Job, notRun(failure_code::StoreUnavailable, Reason, NotReadyRetry));
+}
+
+// Cancellation and time limits.
+
+void job_manager::cancel(const job_cancelled &Event) {
+  job *Job = State.Jobs.findRequest(Event.Request);
+  if (Job == nullptr) {
+    return;
+  }
+  State.Sink.record({.Kind = event_kind::CancelAsked, .Job = Job->Id});
+  Job->CallerGone = Job->CallerGone || Event.CallerGone;
+  fail(*Job, {.Code = failure_code::Cancelled,
+              .Reason = Event.CallerGone ? "The caller went away."
+                                         : "The caller withdrew the job."});
+}
+
+void job_manager::expireTimers() {
+  while (job *Job = State.Jobs.takeExpired(State.now())) {
+    expire(*Job);
+  }
+}
+
+void job_manager::expire(job &Job) {
+  if (Job.Phase == job_phase::Answered) {
+    // The answer to the claim no longer matters.
+    Job.ClaimPending = false;
+    progress(Job);
+    return;
+  }
+  if (Job.Phase == job_phase::Failing) {
+    // Without the proof in time, a start can't be excluded.
+    Job.MayHaveRun = true;
+    progress(Job);
+    return;
+  }
+  const bool DeadlinePassed = Job.Deadline && *Job.Deadline <= State.now();
+  if (Job.Phase == job_phase::Claiming && !DeadlinePassed) {
+    refuseClaim(Job, "The claim was not confirmed in time. This attempt has "
+                     "not run, but its row may block the key.");
+    return;
+  }
+  fail(Job, {.Code = failure_code::DeadlineExceeded,
+             .Reason = "The deadline passed before the last task ended."});
+}
+
+// Failure.
+
+void job_manager::fail(job &Job, job_failure Failure) {
+  if (Job.Phase == job_phase::Claiming || Job.Phase == job_phase::Active) {
+    Job.Phase = job_phase::Failing;
+    Job.Failure = std::move(Failure);
+    dropWaiting(Job);
+    withdrawPlaced(Job);
+    State.Jobs.setTimer(Job, State.now() + CertaintyLimit);
+  }
+  progress(Job);
+}
+
+void job_manager::dropWaiting(job &Job) {
+  if (Job.Parked) {
+    State.Teams.unpark(Job);
+  }
+  State.Queue.remove(Job);
+  State.Teams.addWaiting(Job.Team, -static_cast<std::int64_t>(Job.Waiting));
+  State.UnfinishedTasks -= Job.Waiting;
+  Job.Waiting = 0;
+  for (task &Task : Job.Tasks) {
+    if (Task.State == task_state::Waiting) {
+      Task.State = task_state::NotStarted;
+    }
+  }
+}
+
+void job_manager::withdrawPlaced(job &Job) {
+  for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
+    task &Task = Job.Tasks[Index];
+    if (Task.State != task_state::Placed) {
+      continue;
+    }
+    const task_ref Ref{.Job = &Job, .Index = Index};
+    const companion_index Companion = Task.Companion;
+    if (!Task.Written) {
+      State.Companions[Companion].Outbox.removePlacement(Ref);
+      State.Companions.release(Ref);
+      Task.State = task_state::NotStarted;
+      --Job.Placed;
+      --State.UnfinishedTasks;
+      continue;
+    }
+    Task.Withdrawn = true;
+    State.Sink.recordTask(event_kind::TaskWithdrawn, Ref.getId(),
+                          State.companionName(Companion));
+    if (State.Companions[Companion].Link) {
+      State.Companions.openOutbox(Companion).addWithdrawal(Ref.getId());
+    }
+  }
+}
+
+// Answers.
+
+void job_manager::progress(job &Job) {
+  if (Job.Phase == job_phase::Active && Job.Completed == Job.Tasks.size()) {
+    finishWithResults(Job);
+  }
+  if (Job.Phase == job_phase::Failing && (Job.MayHaveRun || Job.Placed == 0)) {
+    finishWithFailure(Job);
+  }
+  if (Job.Phase == job_phase::Answered && Job.Placed == 0 &&
+      !Job.ClaimPending) {
+    State.Jobs.remove(Job);
+  }
+}
+
+void job_manager::finishWithResults(job &Job) {
+  job_results Results;
+  Results.Outputs.reserve(Job.Tasks.size());
+  for (task &Task : Job.Tasks) {
+    Results.Outputs.push_back(std::move(Task.Bytes));
+  }
+  const job_outcome Outcome = std::move(Results);
+  State.Sink.record({.Kind = event_kind::JobCompleted,
+                     .Job = Job.Id,
+                     .Class = State.Classes[Job.Class].Spec.Name,
+                     .Digest = digest(Outcome)});
+  countAnswer(Job, true);
+  if (Job.Claimed) {
+    Claims.settle(Job, Outcome);
+  }
+  sendAnswer(Job, Outcome);
+}
+
+void job_manager::finishWithFailure(job &Job) {
+  Job.Failure->Certainty =
+      Job.MayHaveRun ? run_certainty::MayHaveRun : run_certainty::NotRun;
+  const bool Refused = !Job.Accepted && !Job.MayHaveRun;
+  State.Sink.record(
+      {.Kind = Refused ? event_kind::JobRefused : event_kind::JobFailed,
+       .Job = Job.Id,
+       .Class = State.Classes[Job.Class].Spec.Name,
+       .Team = State.Teams.getName(Job.Team),
+       .Code = toString(Job.Failure->Code),
+       .Reason = Job.Failure->Reason,
+       .Certainty = toString(Job.Failure->Certainty)});
+  if (Job.Accepted) {
+    countAnswer(Job, false);
+  }
+  if (Job.Claimed) {
+    Claims.settle(Job, *Job.Failure);
+  }
+  sendAnswer(Job, *Job.Failure);
+}
+
+void job_manager::countAnswer(const job &Job, bool Completed) {
+  work_class &Class = State.Classes[Job.Class];
+  ++(Completed ? Class.Counters.Completed : Class.Counters.Failed);
+  if (Completed && State.now() - Job.Arrival > Class.Spec.AnswerWithin) {
+    ++Class.Counters.Missed;
+  }
+}
+
+void job_manager::sendAnswer(job &Job, job_outcome Outcome) {
+  Job.Phase = job_phase::Answered;
+  State.Jobs.clearTimer(Job);
+  if (Job.ClaimPending) {
+    State.Jobs.setTimer(Job, State.now() + State.Options.ClaimLimit);
+  }
+  State.Jobs.releaseRequest(Job);
+  for (task &Task : Job.Tasks) {
+    Task.Bytes = payload();
+  }
+  if (Job.CallerGone) {
+    State.Sink.record({.Kind = event_kind::AnswerDropped, .Job = Job.Id});
+    return;
+  }
+  State.Sink.record({.Kind = event_kind::AnswerSent,
+                     .Job = Job.Id,
+                     .Digest = digest(Outcome)});
+  State.Sink.push(
+      answer_caller{.Request = Job.Request,
+                    .Answer = {.Job = Job.Id, .Outcome = std::move(Outcome)}});
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/job_manager.h
@@ -0,0 +1,54 @@
+/// \file
+/// The life of a job from its submission to its one answer.
+#pragma once
+
+#include "claim_manager.h"
+#include "entry_state.h"
+
+#include <optional>
+#include <string>
+
+namespace crocuswood::entry {
+
+/// Validates and accepts jobs, and works out what is certain about those that
+/// fail.
+class job_manager {
+public:
+  job_manager(entry_state &State, claim_manager &Claims);
+
+  void submit(job_submitted Event);
+  void cancel(const job_cancelled &Event);
+  void takeClaim(const claim_answered &Event);
+  /// Handles jobs whose deadline or other time limit has passed.
+  void expireTimers();
+
+  /// Fails \p Job for its first reason and withdraws what can be withdrawn.
+  void fail(job &Job, job_failure Failure);
+  /// Answers \p Job if a change of its tasks makes that possible, and removes
+  /// it after its last task. \p Job must not be used afterwards.
+  void progress(job &Job);
+
+private:
+  /// \returns why \p Request can't be taken, before load is looked at.
+  std::optional<job_failure> findFault(const job_request &Request) const;
+  std::optional<job_failure> findOverload(const job_request &Request) const;
+  void refuse(const job_id &Id, request_id Request, const job_request &Job,
+              job_failure Failure);
+  void accept(const job_id &Id, job_submitted Event, std::uint64_t Digest);
+  void activate(job &Job);
+  void takeHeldClaim(job &Job, const claim_answered &Event);
+  void refuseClaim(job &Job, const std::string &Reason);
+  void expire(job &Job);
+
+  void dropWaiting(job &Job);
+  void withdrawPlaced(job &Job);
+  void finishWithResults(job &Job);
+  void finishWithFailure(job &Job);
+  void countAnswer(const job &Job, bool Completed);
+  void sendAnswer(job &Job, job_outcome Outcome);
+
+  entry_state &State;
+  claim_manager &Claims;
+};
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/link_manager.cpp
@@ -0,0 +1,330 @@
+#include "link_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::entry {
+
+namespace {
+
+// Earlier incarnations remembered for each companion.
+constexpr std::size_t MaxReplaced = 4;
+
+template <class... Handlers> struct overloads : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers> overloads(Handlers...) -> overloads<Handlers...>;
+
+bool isHeartbeat(const peer_message &Message) {
+  return std::holds_alternative<companion_heartbeat>(Message) ||
+         std::holds_alternative<entry_heartbeat>(Message);
+}
+
+} // namespace
+
+link_manager::link_manager(entry_state &State, task_ends &Ends,
+                           configuration_keeper &Configurations)
+    : State(State), Ends(Ends), Configurations(Configurations) {}
+
+void link_manager::open(link_id Link) {
+  Pending[static_cast<std::uint64_t>(Link)] = State.now();
+}
+
+void link_manager::receive(link_id Link, std::vector<peer_message> Messages) {
+  if (Pending.contains(static_cast<std::uint64_t>(Link))) {
+    receiveFirst(Link, Messages);
+    return;
+  }
+  const companion_index Companion = State.Companions.find(Link);
+  if (Companion == NoCompanion) {
+    return;
+  }
+  for (peer_message &Message : Messages) {
+    if (State.Companions.find(Link) != Companion) {
+      return;
+    }
+    dispatch(Companion, Message);
+  }
+  State.Companions[Companion].HeardAt = State.now();
+}
+
+void link_manager::receiveFirst(link_id Link,
+                                std::vector<peer_message> &Messages) {
+  const auto *Hello = Messages.empty()
+                          ? nullptr
+                          : std::get_if<companion_hello>(&Messages.front());
+  if (Hello == nullptr) {
+    refuseLink(Link, "The first message was not a hello.");
+    return;
+  }
+  if (Hello->Version != PeerProtocolVersion) {
+    refuseLink(Link, "The companion speaks protocol version " +
+                         std::to_string(Hello->Version) + ".");
+    return;
+  }
+  ++State.Messages.Received;
+  takeHello(Link, *Hello);
+  Messages.erase(Messages.begin());
+  if (!Messages.empty()) {
+    receive(Link, std::move(Messages));
+  }
+}
+
+void link_manager::refuseLink(link_id Link, const std::string &Reason) {
+  Pending.erase(static_cast<std::uint64_t>(Link));
+  State.Sink.recordPeer(event_kind::LinkClosed, {}, Reason);
+  State.Sink.push(close_link{.Link = Link, .Reason = Reason});
+}
+
+void link_manager::takeHello(link_id Link, const companion_hello &Hello) {
+  const companion_index Companion = enrol(Link, Hello);
+  if (Companion == NoCompanion) {
+    refuseLink(Link, "A newer incarnation of this companion is known.");
+    return;
+  }
+  Pending.erase(static_cast<std::uint64_t>(Link));
+  companion_record &Record = State.Companions[Companion];
+  Record.Zone = Hello.Zone;
+  Record.Operators = Hello.Operators;
+  Record.Endpoint = Hello.Endpoint;
+  Record.Load = Hello.Load;
+  Record.Unseen.clear();
+  Record.ConfigurationRevision = Hello.ConfigurationRevision;
+  Record.HeardAt = State.now();
+  State.Companions.attachLink(Companion, Link);
+  State.Sink.recordPeer(event_kind::LinkOpened, Record.Id.Name);
+  greet(Companion);
+  resume(Companion);
+  Configurations.noteRevision(Companion, Hello.ConfigurationRevision);
+}
+
+companion_index link_manager::enrol(link_id Link,
+                                    const companion_hello &Hello) {
+  const companion_index Known = State.Companions.find(Hello.Companion.Name);
+  if (Known == NoCompanion) {
+    return State.Companions.add(Hello.Companion);
+  }
+  companion_record &Record = State.Companions[Known];
+  const auto &Replaced = Record.Replaced;
+  if (std::find(Replaced.begin(), Replaced.end(), Hello.Companion) !=
+      Replaced.end()) {
+    return NoCompanion;
+  }
+  if (Record.Link && *Record.Link != Link) {
+    dropLink(Known, "The companion has opened a new link.");
+  }
+  if (Record.Id != Hello.Companion) {
+    replace(Known, Hello.Companion);
+  }
+  return Known;
+}
+
+void link_manager::replace(companion_index Companion, const process_id &Next) {
+  State.Sink.recordPeer(event_kind::PeerReplaced, Next.Name);
+  Ends.loseAll(Companion, "The companion was replaced while it had the task.");
+  companion_record &Record = State.Companions[Companion];
+  Record.Replaced.push_back(Record.Id);
+  if (Record.Replaced.size() > MaxReplaced) {
+    Record.Replaced.erase(Record.Replaced.begin());
+  }
+  Record.Id = Next;
+  Record.Outbox.clear();
+}
+
+void link_manager::greet(companion_index Companion) {
+  State.Companions.openOutbox(Companion).add(
+      entry_hello{.Entry = State.Options.Self,
+                  .Zone = State.Options.Zone,
+                  .ConfigurationRevision = State.Configuration.Revision,
+                  .KnownEntries = State.Entries});
+  if (State.Stopping) {
+    sendHeartbeat(Companion);
+  }
+}
+
+void link_manager::resume(companion_index Companion) {
+  const companion_record &Record = State.Companions[Companion];
+  if (Record.Outstanding.empty()) {
+    return;
+  }
+  resume_request Request;
+  std::vector<task_id> Withdrawn;
+  for (const task_ref &Task : Record.Outstanding) {
+    Request.Outstanding.push_back(Task.getId());
+    if (Task.get().Withdrawn) {
+      Withdrawn.push_back(Task.getId());
+    }
+  }
+  State.Sink.recordPeer(event_kind::LinkResumed, Record.Id.Name, {},
+                        static_cast<std::int64_t>(Request.Outstanding.size()));
+  outbox &Outbox = State.Companions.openOutbox(Companion);
+  Outbox.add(std::move(Request));
+  for (const task_id &Task : Withdrawn) {
+    Outbox.addWithdrawal(Task);
+  }
+}
+
+void link_manager::dispatch(companion_index Companion, peer_message &Message) {
+  ++(isHeartbeat(Message) ? State.Messages.Heartbeats
+                          : State.Messages.Received);
+  std::visit(
+      overloads{
+          [&](companion_heartbeat &Heartbeat) {
+            State.Companions.takeLoad(Companion, Heartbeat.Load, State.now());
+            State.Companions[Companion].Entries = Heartbeat.Entries;
+            Configurations.noteRevision(Companion,
+                                        Heartbeat.ConfigurationRevision);
+          },
+          [&](endpoint_report &Report) {
+            State.Companions[Companion].Endpoint = std::move(Report);
+            State.Companions.refreshClasses(Companion);
+          },
+          [&](task_ended &End) { Ends.takeEnd(Companion, std::move(End)); },
+          [&](resume_reply &Reply) {
+            for (const task_standing &Standing : Reply.Standing) {
+              if (Standing.Place == task_place::Running) {
+                Ends.noteRunning(Companion, Standing.Task);
+              }
+            }
+          },
+          [&](load_report &Report) {
+            // Counted as waste until a placement follows from it.
+            ++State.Messages.Wasted;
+            State.Companions[Companion].ReportUnused = true;
+            State.Companions.takeLoad(Companion, Report.Load, State.now());
+          },
+          [&](configuration_push &Push) {
+            companion_record &Record = State.Companions[Companion];
+            Record.ConfigurationRevision = std::max(
+                Record.ConfigurationRevision, Push.Configuration.Revision);
+            Configurations.offer(Push.Configuration);
+          },
+          [&](auto &) {
+            dropLink(Companion, "The companion sent an unexpected message.");
+          }},
+      Message);
+}
+
+void link_manager::close(link_id Link, const std::string &Reason) {
+  if (Pending.erase(static_cast<std::uint64_t>(Link)) > 0) {
+    return;
+  }
+  const companion_index Companion = State.Companions.find(Link);
+  if (Companion == NoCompanion) {
+    return;
+  }
+  State.Sink.recordPeer(event_kind::LinkClosed, State.companionName(Companion),
+                        Reason);
+  Ends.takeBackUnwritten(Companion);
+  State.Companions[Companion].Outbox.clear();
+  State.Companions.detachLink(Companion, State.now());
+}
+
+void link_manager::dropLink(companion_index Companion,
+                            const std::string &Reason) {
+  const link_id Link = *State.Companions[Companion].Link;
+  close(Link, Reason);
+  State.Sink.push(close_link{.Link = Link, .Reason = Reason});
+}
+
+// Times.
+
+void link_manager::closePendingLinks() {
+  std::vector<link_id> Expired;
+  for (const auto &[Link, OpenedAt] : Pending) {
+    if (State.now() - OpenedAt > State.Options.SilenceLimit) {
+      Expired.push_back(link_id{Link});
+    }
+  }
+  std::sort(Expired.begin(), Expired.end());
+  for (const link_id Link : Expired) {
+    refuseLink(Link, "No hello came in time.");
+  }
+}
+
+void link_manager::checkTimes() {
+  closePendingLinks();
+  std::vector<companion_index> Known;
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    Known.push_back(Index);
+  }
+  for (const companion_index Companion : Known) {
+    checkCompanion(Companion);
+  }
+}
+
+void link_manager::checkCompanion(companion_index Companion) {
+  companion_record &Record = State.Companions[Companion];
+  if (!Record.Link) {
+    if (State.now() - Record.LinkLostAt >= State.Options.LossLimit) {
+      Ends.loseAll(Companion,
+                   "The companion had no link for too long with the task.");
+      State.Companions.remove(Companion);
+    }
+    return;
+  }
+  if (State.now() - Record.HeardAt > State.Options.SilenceLimit) {
+    State.Sink.recordPeer(event_kind::LinkSilent, Record.Id.Name);
+    dropLink(Companion, "The link was silent.");
+    return;
+  }
+  if (State.now() - Record.SentAt >= State.Options.HeartbeatInterval) {
+    sendHeartbeat(Companion);
+  }
+}
+
+void link_manager::sendHeartbeat(companion_index Companion) {
+  State.Companions.openOutbox(Companion).add(
+      entry_heartbeat{.ConfigurationRevision = State.Configuration.Revision,
+                      .KnownEntriesDigest = Configurations.getEntriesDigest(),
+                      .Stopping = State.Stopping});
+}
+
+void link_manager::announceStop() {
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    if (State.Companions[Index].Link) {
+      sendHeartbeat(Index);
+    }
+  }
+}
+
+// Writing.
+
+void link_manager::flush() {
+  for (const companion_index Companion : State.Companions.takeDirty()) {
+    if (State.Companions[Companion].Link &&
+        State.Companions[Companion].Outbox.isDue()) {
+      write(Companion);
+    }
+  }
+}
+
+void link_manager::recordPlacements(companion_index Companion) {
+  const companion_record &Record = State.Companions[Companion];
+  for (const pending_placement &Placement : Record.Outbox.getPlacements()) {
+    Placement.Task.get().Written = true;
+    State.Sink.record({.Kind = event_kind::TaskPlaced,
+                       .Job = Placement.Message.Task.Job,
+                       .Task = Placement.Message.Task.Index,
+                       .Class = Placement.Message.Class,
+                       .Peer = Record.Id.Name});
+  }
+}
+
+void link_manager::write(companion_index Companion) {
+  companion_record &Record = State.Companions[Companion];
+  recordPlacements(Companion);
+  std::vector<peer_message> Messages =
+      Record.Outbox.take(State.Queue.getCount());
+  for (const peer_message &Message : Messages) {
+    ++(isHeartbeat(Message) ? State.Messages.Heartbeats : State.Messages.Sent);
+    if (std::holds_alternative<withdraw_tasks>(Message)) {
+      ++State.Messages.Wasted;
+    }
+  }
+  Record.SentAt = State.now();
+  State.Sink.push(
+      send_messages{.Link = *Record.Link, .Messages = std::move(Messages)});
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/placement_policy.h
@@ -0,0 +1,41 @@
+/// \file
+/// Chooses the companion of a task.
+#pragma once
+
+#include "companion_table.h"
+#include "job.h"
+
+#include <crocuswood/entry.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// What a policy may look at to place one task.
+struct placement_query {
+  class_index Class = 0;
+  std::uint32_t Waiting = 0; ///< Tasks that wait at the entry.
+  const companion_table &Companions;
+  /// Whether a companion may be given this very task.
+  const std::function<bool(companion_index)> &MayTake;
+};
+
+/// Chooses a companion for a task, or leaves the task at the entry.
+class placement_policy {
+public:
+  virtual ~placement_policy() = default;
+  /// \returns NoCompanion if the task should wait.
+  virtual companion_index choose(const placement_query &Query) = 0;
+
+protected:
+  /// \returns the companions that may take the task, in a stable order.
+  static std::vector<companion_index> candidates(const placement_query &Query);
+};
+
+/// \returns the policy called \p Kind. \p Seed feeds those that draw lots.
+std::unique_ptr<placement_policy> makePolicy(policy_kind Kind,
+                                             std::uint64_t Seed);
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/task_ends.cpp
@@ -0,0 +1,176 @@
+#include "task_ends.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::entry {
+
+namespace {
+
+// A task given back more often than this fails its job.
+constexpr std::uint8_t MaxAttempts = 16;
+
+} // namespace
+
+task_ends::task_ends(entry_state &State, job_manager &Jobs)
+    : State(State), Jobs(Jobs) {}
+
+std::optional<task_ref> task_ends::findOutstanding(companion_index Companion,
+                                                   const task_id &Task) {
+  job *Job = State.Jobs.find(Task.Job);
+  if (Job == nullptr || Task.Index >= Job->Tasks.size()) {
+    return std::nullopt;
+  }
+  const task &Found = Job->Tasks[Task.Index];
+  if (Found.State != task_state::Placed || Found.Companion != Companion) {
+    return std::nullopt;
+  }
+  return task_ref{.Job = Job, .Index = Task.Index};
+}
+
+void task_ends::takeEnd(companion_index Companion, task_ended End) {
+  // The acknowledgement rides with the next envelope, so it does not put the
+  // companion into the list of those to flush.
+  State.Companions[Companion].Outbox.addAcknowledgement(End.Task);
+  const auto Task = findOutstanding(Companion, End.Task);
+  if (!Task) {
+    ++State.Messages.Wasted;
+    State.Companions.takeLoad(Companion, End.Load, State.now());
+    State.Sink.recordTask(event_kind::TaskResultStale, End.Task,
+                          State.companionName(Companion));
+    return;
+  }
+  if (auto *Completed = std::get_if<task_completed>(&End.End)) {
+    takeOutput(Companion, *Task, *Completed);
+  } else if (const auto *Failed = std::get_if<task_failed>(&End.End)) {
+    takeFailure(Companion, *Task, *Failed);
+  } else if (const auto *Returned = std::get_if<task_not_started>(&End.End)) {
+    takeReturn(Companion, *Task, Returned->Reason);
+  } else {
+    takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
+  }
+  State.Companions.takeLoad(Companion, End.Load, State.now());
+}
+
+void task_ends::release(const task_ref &Task, task_state Next) {
+  State.Companions.release(Task);
+  Task.get().State = Next;
+  --Task.Job->Placed;
+  if (Next == task_state::Waiting) {
+    ++Task.Job->Waiting;
+    State.Teams.addWaiting(Task.Job->Team, 1);
+  } else {
+    --State.UnfinishedTasks;
+  }
+}
+
+void task_ends::takeOutput(companion_index Companion, const task_ref &Task,
+                           task_completed &Completed) {
+  job &Job = *Task.Job;
+  work_class &Class = State.Classes[Job.Class];
+  Class.RunTimes.learn(Completed.RunTime, Task.get().DeclaredRunTime);
+  State.Sink.record({.Kind = event_kind::TaskResultTaken,
+                     .Job = Job.Id,
+                     .Task = Task.Index,
+                     .Peer = State.companionName(Companion),
+                     .Digest = digest(Completed.Output.getBytes())});
+  release(Task, task_state::Completed);
+  ++Job.Completed;
+  Job.MayHaveRun = true;
+  if (Job.Phase == job_phase::Active) {
+    Task.get().Bytes = std::move(Completed.Output);
+  }
+  Jobs.progress(Job);
+}
+
+void task_ends::takeFailure(companion_index Companion, const task_ref &Task,
+                            const task_failed &Failed) {
+  job &Job = *Task.Job;
+  State.Sink.record({.Kind = event_kind::TaskResultTaken,
+                     .Job = Job.Id,
+                     .Task = Task.Index,
+                     .Peer = State.companionName(Companion),
+                     .Code = toString(failure_code::TaskFailed),
+                     .Reason = Failed.Reason});
+  release(Task, task_state::MayHaveRun);
+  Job.MayHaveRun = true;
+  Jobs.fail(Job, {.Code = failure_code::TaskFailed,
+                  .Reason = "A task failed: " + Failed.Reason,
+                  .Task = Task.Index});
+}
+
+void task_ends::takeReturn(companion_index Companion, const task_ref &Task,
+                           not_started_reason Reason) {
+  job &Job = *Task.Job;
+  const companion_record &Record = State.Companions[Companion];
+  // Both the placement and its return were in vain.
+  State.Messages.Wasted += 2;
+  State.Sink.recordTask(event_kind::TaskReturned, Task.getId(), Record.Id.Name,
+                        toString(Reason));
+  if (Job.Phase != job_phase::Active) {
+    release(Task, task_state::NotStarted);
+    Jobs.progress(Job);
+    return;
+  }
+  if (Reason == not_started_reason::DeadlinePassed) {
+    release(Task, task_state::NotStarted);
+    Jobs.fail(Job, {.Code = failure_code::DeadlineExceeded,
+                    .Reason = "The deadline passed before the task started.",
+                    .Task = Task.Index});
+    return;
+  }
+  Job.GivenBack.push_back({.Task = Task.Index,
+                           .Companion = Companion,
+                           .Incarnation = Record.Id.Incarnation});
+  if (++Task.get().Attempts >= MaxAttempts) {
+    release(Task, task_state::NotStarted);
+    Jobs.fail(Job, {.Code = failure_code::Overloaded,
+                    .Reason = "Too many companions gave a task back.",
+                    .Task = Task.Index});
+    return;
+  }
+  takeBack(Task);
+}
+
+void task_ends::takeBack(const task_ref &Task) {
+  release(Task, task_state::Waiting);
+  State.Retries.add(Task.getId());
+}
+
+void task_ends::takeLoss(companion_index Companion, const task_ref &Task,
+                         const std::string &Reason) {
+  job &Job = *Task.Job;
+  State.Sink.recordTask(event_kind::TaskUncertain, Task.getId(),
+                        State.companionName(Companion), Reason);
+  release(Task, task_state::MayHaveRun);
+  Job.MayHaveRun = true;
+  Jobs.fail(Job, {.Code = failure_code::EndpointLost,
+                  .Reason = Reason,
+                  .Task = Task.Index});
+}
+
+void task_ends::takeBackUnwritten(companion_index Companion) {
+  for (const pending_placement &Placement :
+       State.Companions[Companion].Outbox.takePlacements()) {
+    takeBack(Placement.Task);
+  }
+}
+
+void task_ends::noteRunning(companion_index Companion, const task_id &Task) {
+  const auto Found = findOutstanding(Companion, Task);
+  if (!Found) {
+    return;
+  }
+  Found->Job->MayHaveRun = true;
+  Jobs.progress(*Found->Job);
+}
+
+void task_ends::loseAll(companion_index Companion, const std::string &Reason) {
+  takeBackUnwritten(Companion);
+  while (!State.Companions[Companion].Outstanding.empty()) {
+    const task_ref Task = State.Companions[Companion].Outstanding.back();
+    takeLoss(Companion, Task, Reason);
+  }
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/task_ends.h
@@ -0,0 +1,46 @@
+/// \file
+/// What entries learn about the tasks that they placed.
+#pragma once
+
+#include "entry_state.h"
+#include "job_manager.h"
+
+#include <string>
+
+namespace crocuswood::entry {
+
+/// Takes the ends of tasks and passes on what follows for their jobs.
+class task_ends {
+public:
+  task_ends(entry_state &State, job_manager &Jobs);
+
+  /// Takes the last word of a companion on a task.
+  void takeEnd(companion_index Companion, task_ended End);
+  /// Takes back all placements to a companion that were not written to its
+  /// link.
+  void takeBackUnwritten(companion_index Companion);
+  /// Notes that \p Task has started although its end is not known yet.
+  void noteRunning(companion_index Companion, const task_id &Task);
+  /// Notes that the ends of all tasks on a companion will never be known.
+  void loseAll(companion_index Companion, const std::string &Reason);
+
+private:
+  /// \returns the task if it is outstanding on \p Companion.
+  std::optional<task_ref> findOutstanding(companion_index Companion,
+                                          const task_id &Task);
+  void takeOutput(companion_index Companion, const task_ref &Task,
+                  task_completed &Completed);
+  void takeFailure(companion_index Companion, const task_ref &Task,
+                   const task_failed &Failed);
+  void takeReturn(companion_index Companion, const task_ref &Task,
+                  not_started_reason Reason);
+  void takeLoss(companion_index Companion, const task_ref &Task,
+                const std::string &Reason);
+  void takeBack(const task_ref &Task);
+  void release(const task_ref &Task, task_state Next);
+
+  entry_state &State;
+  job_manager &Jobs;
+};
+
+} // namespace crocuswood::entry
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -131,7 +131,7 @@
   duration Slack{}; ///< Time left until the task must start to meet its target.
   duration ExpectedRunTime{}; ///< The entry's estimate.
   std::optional<duration>
-      Deadline; ///< After this the task must not start any more.
+      Deadline;              ///< After this the task must not start any more.
   std::uint32_t Backlog = 0; ///< Tasks that still wait at the entry.
 
   friend bool operator==(const place_task &, const place_task &) = default;
--- /dev/null
+++ b/tests/entry/link_test.cpp
@@ -0,0 +1,164 @@
+#include "entry_harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::entry;
+
+namespace {
+
+constexpr link_id A{1};
+constexpr link_id A2{2};
+constexpr link_id B{3};
+
+} // namespace
+
+TEST_GROUP(Links) {
+  entry_harness Entry;
+
+  void setup() override {
+    Entry.handle(configuration_read{entry_harness::defaultConfiguration()});
+    Entry.connect(A, "runner-a");
+  }
+};
+
+TEST(Links, HelloIsAnsweredAndConfigurationPushed) {
+  CHECK_EQUAL(1U, Entry.sent<entry_hello>(A).size());
+  CHECK_TRUE(Entry.sent<configuration_push>(A).empty());
+  Entry.handle(configuration_read{entry_harness::defaultConfiguration(5)});
+  CHECK_EQUAL(1U, Entry.sent<configuration_push>(A).size());
+  Entry.connect(B, "runner-b");
+  CHECK_EQUAL(5U, Entry.sent<configuration_push>(B)[0].Configuration.Revision);
+}
+
+TEST(Links, OtherVersionsAndOtherFirstMessagesAreRefused) {
+  Entry.handle(link_opened{.Link = B});
+  Entry.receive(B, {companion_hello{.Version = PeerProtocolVersion + 1}});
+  CHECK_EQUAL(1U, Entry.actions<close_link>().size());
+  Entry.handle(link_opened{.Link = A2});
+  Entry.receive(A2, {load_report{}});
+  CHECK_EQUAL(2U, Entry.actions<close_link>().size());
+}
+
+TEST(Links, ConfigurationNeverReverts) {
+  Entry.receive(A,
+                {configuration_push{entry_harness::defaultConfiguration(7)}});
+  CHECK_EQUAL(7U, Entry.Core.getConfiguration().Revision);
+  Entry.handle(configuration_read{entry_harness::defaultConfiguration(6)});
+  CHECK_EQUAL(7U, Entry.Core.getConfiguration().Revision);
+  CHECK_EQUAL(2U, Entry.actions<configuration_adopted>().size());
+}
+
+TEST(Links, HeartbeatsKeepAnIdleLinkAndCarryAcknowledgements) {
+  Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.clear();
+  Entry.complete(A, Task);
+  CHECK_TRUE(Entry.actions<send_messages>().empty());
+  Entry.pass(std::chrono::milliseconds(800));
+  CHECK_EQUAL(1U, Entry.sent<entry_heartbeat>(A).size());
+  CHECK_TRUE(Entry.sent<acknowledge_ends>(A)[0].Tasks ==
+             std::vector<task_id>{Task});
+}
+
+TEST(Links, SilentLinkIsClosedAndItsTasksStayOutstanding) {
+  const request_id Request = Entry.submit("fast");
+  Entry.pass(std::chrono::seconds(3));
+  CHECK_EQUAL(1U, Entry.countEvents(event_kind::LinkSilent));
+  CHECK_TRUE(Entry.actions<close_link>().front().Link == A);
+  CHECK_TRUE(Entry.answerOf(Request) == nullptr);
+}
+
+TEST(Links, ResumeNamesOutstandingTasksAndTakesTheirEnds) {
+  const request_id Request = Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.handle(link_closed{.Link = A, .Reason = "reset"});
+  Entry.connect(A2, "runner-a");
+  CHECK_TRUE(Entry.sent<resume_request>(A2)[0].Outstanding ==
+             std::vector<task_id>{Task});
+  Entry.complete(A2, Task);
+  CHECK_TRUE(Entry.isCompleted(Request));
+}
+
+TEST(Links, UnknownAfterResumeIsPlacedElsewhere) {
+  const request_id Request = Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.connect(B, "runner-b");
+  Entry.handle(link_closed{.Link = A});
+  Entry.connect(A2, "runner-a");
+  Entry.end(A2, Task, task_not_started{.Reason = not_started_reason::Unknown});
+  CHECK_TRUE(Entry.placed(B) == std::vector<task_id>{Task});
+  CHECK_TRUE(Entry.placed(A2).empty());
+  Entry.complete(B, Task);
+  CHECK_TRUE(Entry.isCompleted(Request));
+}
+
+TEST(Links, SilenceNeverLeadsToAnotherPlacement) {
+  const request_id Request = Entry.submit("fast");
+  Entry.connect(B, "runner-b");
+  Entry.handle(link_closed{.Link = A});
+  Entry.pass(std::chrono::seconds(9));
+  CHECK_TRUE(Entry.answerOf(Request) == nullptr);
+  Entry.pass(std::chrono::seconds(2));
+  CHECK_TRUE(Entry.mayHaveRun(Request, failure_code::EndpointLost));
+  CHECK_TRUE(Entry.placed(B).empty());
+}
+
+TEST(Links, NewIncarnationMayHaveRunWhatTheOldOneHad) {
+  const request_id Request = Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.connect(A2, "runner-a", 8, incarnation{2});
+  CHECK_TRUE(Entry.mayHaveRun(Request, failure_code::EndpointLost));
+  CHECK_EQUAL(1U, Entry.countEvents(event_kind::PeerReplaced));
+  CHECK_TRUE(Entry.sent<resume_request>(A2).empty());
+  Entry.complete(A2, Task);
+  CHECK_EQUAL(1U, Entry.countEvents(event_kind::TaskResultStale));
+}
+
+TEST(Links, ReplacedIncarnationIsRefused) {
+  Entry.connect(A2, "runner-a", 8, incarnation{2});
+  Entry.connect(B, "runner-a", 8, incarnation{1});
+  CHECK_TRUE(Entry.actions<close_link>().back().Link == B);
+  Entry.submit("fast");
+  CHECK_EQUAL(1U, Entry.placed(A2).size());
+}
+
+TEST(Links, PlacementsNotYetWrittenGoElsewhere) {
+  Entry.handleOnly(
+      job_submitted{.Request = request_id{77},
+                    .Job = {.Class = "fast",
+                            .Team = "acme",
+                            .Tasks = std::vector<task_request>(1)}});
+  Entry.handleOnly(link_closed{.Link = A});
+  Entry.flush();
+  Entry.connect(B, "runner-b");
+  CHECK_EQUAL(1U, Entry.placed(B).size());
+}
+
+TEST(Links, RepeatedEndsAreStaleAndAcknowledged) {
+  Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.complete(A, Task);
+  Entry.complete(A, Task);
+  CHECK_EQUAL(1U, Entry.countEvents(event_kind::TaskResultStale));
+  Entry.pass(std::chrono::milliseconds(800));
+  CHECK_EQUAL(2U, Entry.sent<acknowledge_ends>(A)[0].Tasks.size());
+}
+
+TEST(Links, LeavingEndpointGetsNothing) {
+  Entry.receive(A, {endpoint_report{.State = endpoint_state::Leaving,
+                                    .Classes = {"fast"},
+                                    .Slots = 8}});
+  Entry.submit("fast");
+  CHECK_TRUE(Entry.placed(A).empty());
+  Entry.connect(B, "runner-b");
+  CHECK_EQUAL(1U, Entry.placed(B).size());
+}
+
+TEST(Links, WithdrawalsAreRepeatedOnTheNewLink) {
+  const request_id Request = Entry.submit("fast");
+  Entry.handle(link_closed{.Link = A});
+  Entry.handle(job_cancelled{.Request = Request});
+  Entry.connect(A2, "runner-a");
+  CHECK_EQUAL(1U, Entry.sent<withdraw_tasks>(A2).size());
+}
