Make the wake-up test find a lost raise

Cause: the test passed although lower() cleared the flag before it emptied the descriptor, with rings of 16 items and also with rings of one: the producers waited for the consumer and never raised during its turn. Change: rings of one item and pauses of varying length between pushes; lint findings mended. Seen: with the two steps of lower() swapped the test hangs 3 of 3 (stopped after 10 s); as it stands it passes 3 of 3 in 0.5 to 0.8 s.

--- a/packages/rings/src/duty.cpp
+++ b/packages/rings/src/duty.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <pthread.h>
 #include <thread>
@@ -21,8 +22,10 @@
 
 class duty::implementation {
 public:
-  explicit implementation(const std::string &ThreadName)
-      : Name(ThreadName.substr(0, MaxThreadNameLength)), Context(1) {}
+  explicit implementation(std::string ThreadName)
+      : Name(std::move(ThreadName)), Context(1) {
+    Name.resize(std::min(Name.size(), MaxThreadNameLength));
+  }
 
   ~implementation() {
     stop();
@@ -91,7 +94,8 @@
   std::thread Thread;
 };
 
-duty::duty(std::string Name) : Impl(std::make_unique<implementation>(Name)) {}
+duty::duty(std::string Name)
+    : Impl(std::make_unique<implementation>(std::move(Name))) {}
 
 duty::~duty() = default;
 
--- a/packages/wire/src/envelope_framer.cpp
+++ b/packages/wire/src/envelope_framer.cpp
@@ -45,7 +45,7 @@
        {std::pair(Envelope.Messages.begin(), Middle),
         std::pair(Middle, Envelope.Messages.end())}) {
     const peer_envelope Half{.Sent = Envelope.Sent, .Messages = {First, Last}};
-    const checked<std::uint64_t> Appended = appendFrames(Out, Half, MaxBytes);
+    checked<std::uint64_t> Appended = appendFrames(Out, Half, MaxBytes);
     if (std::holds_alternative<findings>(Appended)) {
       return Appended;
     }
--- a/packages/wire/src/envelope_writer.h
+++ b/packages/wire/src/envelope_writer.h
@@ -90,7 +90,8 @@
   template <class... Types> void write(const std::variant<Types...> &Value) {
     Packer.pack_array(2);
     write(static_cast<std::uint32_t>(Value.index()));
-    std::visit([this](const auto &Alternative) { write(Alternative); }, Value);
+    std::visit([this](const auto &Alternative) { this->write(Alternative); },
+               Value);
   }
 
 private:
--- a/packages/wire/src/http2_session.cpp
+++ b/packages/wire/src/http2_session.cpp
@@ -15,11 +15,11 @@
 // Enough for a burst of placements or results without waiting for an update.
 constexpr std::int32_t WindowBytes = 8 * 1024 * 1024;
 // A write gathers frames up to about this size.
-constexpr std::size_t MaxWriteBytes = 1024 * 1024;
+constexpr std::size_t MaxWriteBytes = 1024UL * 1024;
 // Answers to a peer's SETTINGS and PING frames that may wait for the socket.
 constexpr std::size_t MaxWaitingAnswers = 64;
 // Taken bytes at the front of the unsent ones are cut off beyond this size.
-constexpr std::size_t CompactionBytes = 256 * 1024;
+constexpr std::size_t CompactionBytes = 256UL * 1024;
 
 constexpr std::string_view LinkMethod = "POST";
 constexpr std::string_view LinkPath = "/link";
--- a/packages/wire/src/link_connection.h
+++ b/packages/wire/src/link_connection.h
@@ -83,7 +83,7 @@
   void closeSocket();
 
   // What one read takes at most.
-  static constexpr std::size_t ReadBytes = 16 * 1024;
+  static constexpr std::size_t ReadBytes = 16UL * 1024;
 
   link_id Link;
   session_role Role;
--- a/tests/rings/ring_test.cpp
+++ b/tests/rings/ring_test.cpp
@@ -1,24 +1,11 @@
+#include "signal_state.h"
+
 #include <crocuswood/rings.h>
 
 #include <CppUTest/TestHarness.h>
-#include <boost/asio/io_context.hpp>
-
-#include <future>
-#include <memory>
-#include <poll.h>
-#include <thread>
 
 using namespace crocuswood::rings;
-
-namespace {
-
-bool isReadable(const wake_signal &Signal) {
-  pollfd Descriptor{
-      .fd = Signal.getDescriptor(), .events = POLLIN, .revents = 0};
-  return poll(&Descriptor, 1, 0) == 1;
-}
-
-} // namespace
+using crocuswood::rings_test::isReadable;
 
 TEST_GROUP(Rings){};
 
@@ -26,7 +13,7 @@
   wake_signal Signal;
   ring<int> Ring(8, Signal);
   for (int Value = 0; Value < 5; ++Value) {
-    CHECK_TRUE(Ring.tryPush(std::move(Value)));
+    CHECK_TRUE(Ring.tryPush(int{Value}));
   }
   for (int Expected = 0; Expected < 5; ++Expected) {
     int Value = -1;
@@ -126,9 +113,10 @@
 TEST(Duties, NoWakeUpIsLostBetweenManyThreads) {
   constexpr int Producers = 4;
   constexpr int ItemsEach = 20'000;
-  constexpr std::size_t Capacity = 16;
+  constexpr std::size_t Capacity = 1;
   duty Duty("consumer");
   std::vector<std::unique_ptr<ring<int>>> Rings;
+  Rings.reserve(Producers);
   for (int Index = 0; Index < Producers; ++Index) {
     Rings.push_back(std::make_unique<ring<int>>(Capacity, Duty.getSignal()));
   }
@@ -158,6 +146,12 @@
         while (!Ring.tryPush(int{Value})) {
           std::this_thread::yield();
         }
+        // Pauses of varying length, so that raises fall into every moment of
+        // the consumer's turn.
+        constexpr int LongestPause = 1'021;
+        std::atomic<int> Pause{Value * 7919 % LongestPause};
+        while (Pause.fetch_sub(1) > 0) {
+        }
       }
     });
   }
--- a/tests/wire/link_test.cpp
+++ b/tests/wire/link_test.cpp
@@ -47,13 +47,13 @@
       runUntil(Pair.Context, [&AtEntry] { return AtEntry.size() == Count; }));
   // One frame header and a length for each envelope, not a frame for each.
   constexpr std::size_t LengthBytes = 4;
-  constexpr std::size_t FrameHeaders = 2 * 9;
+  constexpr std::size_t FrameHeaders = 18;
   const std::uint64_t Sent = Pair.Companion.getTraffic().BytesSent - Before;
   CHECK_TRUE(Sent <= EnvelopeBytes + Count * LengthBytes + FrameHeaders);
 }
 
 TEST(Links, EnvelopesBeyondTheWindowArrive) {
-  constexpr std::size_t PayloadBytes = 5 * 1024 * 1024;
+  constexpr std::size_t PayloadBytes = 5UL * 1024 * 1024;
   constexpr std::uint32_t Count = 8;
   linked_pair Pair;
   CHECK_TRUE(Pair.open());
