--- /dev/null
+++ b/packages/checker/src/key_groups.h
@@ -0,0 +1,27 @@
+/// \file
+/// Jobs that were submitted under one idempotency key.
+#pragma once
+
+#include "history.h"
+
+#include <compare>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocuswood::checker {
+
+/// A key belongs to its team.
+struct team_key {
+  std::string Team;
+  std::string Key;
+
+  friend auto operator<=>(const team_key &, const team_key &) = default;
+};
+
+using key_groups = std::map<team_key, std::vector<job_id>>;
+
+/// \returns the jobs of each key.
+key_groups groupByKey(const history &History);
+
+} // namespace crocuswood::checker
