--- a/packages/companion/src/core.cpp
+++ b/packages/companion/src/core.cpp
@@ -394,9 +394,6 @@
   }
   Stopping = true;
   LastRunEnd = Step.Now;
-  timeline_event Event;
-  Event.Kind = event_kind::ProcessStopping;
-  Step.record(std::move(Event));
   if (Endpoint.leave()) {
     reportEndpoint(Step, not_started_reason::Leaving);
   }
