Parse traces, judge outcomes and compute the bound

Cause: replay needs an input that outsiders can write, and a figure that no policy can beat. Change: the parser of traces, the load generator, the outcomes, the figures and the omniscient single queue.

--- a/packages/replay/include/crocuswood/replay.h
+++ b/packages/replay/include/crocuswood/replay.h
@@ -67,6 +67,35 @@
 
 checked<trace> parse(std::string_view Text, const std::string &Source);
 
+/// Orders in which the bound's single queue serves waiting tasks.
+enum class queue_order : std::uint8_t {
+  FirstCome,
+  EarliestDeadline,
+  ShortestFirst,
+};
+
+/// \returns the order in snake case.
+std::string toString(queue_order Order);
+
+/// Figures of one omniscient queue in place of all entries.
+struct bound_result {
+  queue_order Order = queue_order::FirstCome; ///< The one with the least p99.
+  std::map<std::string, class_figures> Classes;
+  double StretchP50 = 0;
+  double StretchP99 = 0;
+  double Goodput = 0;
+};
+
+/// Serves the arrivals of \p Trace from a single queue that sees every slot,
+/// knows every run time and pays only the path that cannot be avoided: client,
+/// entry, companion and back. Faults and stated outcomes are left out. No real
+/// policy can be expected to do better, so figures are read beside it.
+bound_result computeBound(const trace &Trace);
+
+/// \returns the text of a small trace with a random schedule of faults. Equal
+/// seeds give equal traces.
+std::string generate(std::uint64_t Seed);
+
 /// Runs \p Trace. The same trace and options give the same result, byte for
 /// byte.
 run_result run(const trace &Trace, const run_options &Options);
--- a/packages/replay/src/clients.cpp
+++ b/packages/replay/src/clients.cpp
@@ -1,5 +1,7 @@
 #include "clients.h"
 
+#include "fake_endpoint.h"
+
 #include <algorithm>
 #include <utility>
 
