Read spans and addresses by the model's functions

Cause: the package had its own parsers of durations and addresses beside the model's. Change: theirs are gone; what is left reads targets of requests.

--- a/packages/http/src/announcement.cpp
+++ b/packages/http/src/announcement.cpp
@@ -1,4 +1,3 @@
-#include "address_text.h"
 #include "json_text.h"
 
 #include <crocuswood/http.h>
@@ -87,7 +86,7 @@
     if (Text.empty()) {
       return {};
     }
-    const auto Address = parseAddress(Text);
+    const auto Address = parsePeerAddress(Text);
     if (!Address || Address->Port == 0) {
       report("address", "must be an IP number and a port, such as "
                         "\"10.0.0.1:8080\"");
--- a/packages/http/src/caller_front.cpp
+++ b/packages/http/src/caller_front.cpp
@@ -1,6 +1,6 @@
-#include "address_text.h"
 #include "connection_server.h"
 #include "json_text.h"
+#include "target_text.h"
 
 #include <crocuswood/http.h>
 
--- a/packages/http/src/job_request_reader.cpp
+++ b/packages/http/src/job_request_reader.cpp
@@ -1,7 +1,5 @@
 #include "job_request_reader.h"
 
-#include "duration_text.h"
-
 #include <algorithm>
 #include <array>
 
@@ -269,7 +267,7 @@
   if (Value != nullptr) {
     Target = parseDuration(*Value);
   }
-  if (!Target) {
+  if (!Target || Target->count() == 0) {
     report(valueStart(), path(),
            "must be a string with a number and a unit, such as \"300ms\"");
   }
--- a/packages/http/src/plain_client.cpp
+++ b/packages/http/src/plain_client.cpp
@@ -1,5 +1,5 @@
-#include "address_text.h"
 #include "client_connection.h"
+#include "target_text.h"
 
 #include <crocuswood/http.h>
 
--- a/packages/http/src/address_text.cpp
+++ b/packages/http/src/target_text.cpp
@@ -1,4 +1,4 @@
-#include "address_text.h"
+#include "target_text.h"
 
 #include <charconv>
 #include <cstdint>
@@ -32,29 +32,6 @@
 
 } // namespace
 
-std::optional<peer_address> parseAddress(std::string_view Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos || Colon == 0) {
-    return std::nullopt;
-  }
-  std::string_view Host = Text.substr(0, Colon);
-  if (Host.front() == '[' && Host.back() == ']') {
-    Host = Host.substr(1, Host.size() - 2);
-  }
-  const bool IsNumber =
-      !Host.empty() &&
-      Host.find_first_not_of("0123456789abcdefABCDEF.:") == Host.npos;
-  const std::string_view PortText = Text.substr(Colon + 1);
-  std::uint16_t Port = 0;
-  const auto [Rest, Error] =
-      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
-  if (!IsNumber || Error != std::errc() ||
-      Rest != PortText.data() + PortText.size()) {
-    return std::nullopt;
-  }
-  return peer_address{.Host = std::string(Host), .Port = Port};
-}
-
 std::string percentEncode(std::string_view Text) {
   std::string Result;
   Result.reserve(Text.size());
--- a/packages/http/src/address_text.h
+++ b/packages/http/src/target_text.h
@@ -1,9 +1,7 @@
 /// \file
-/// Addresses and parts of request targets as text.
+/// Targets of requests as text.
 #pragma once
 
-#include <crocuswood/model.h>
-
 #include <map>
 #include <optional>
 #include <string>
@@ -11,9 +9,6 @@
 
 namespace crocuswood::http {
 
-/// Parses `IP:PORT`; an IPv6 number stands in brackets.
-std::optional<peer_address> parseAddress(std::string_view Text);
-
 /// \returns \p Text with everything but unreserved characters and `/` as
 /// percent escapes.
 std::string percentEncode(std::string_view Text);
--- a/tests/stand_ins/common/stand_in.cpp
+++ b/tests/stand_ins/common/stand_in.cpp
@@ -1,6 +1,5 @@
 #include "common/stand_in.h"
 
-#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -20,23 +19,12 @@
 } // namespace
 
 peer_address addressOrExit(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  std::uint16_t Port = 0;
-  if (Colon != std::string::npos) {
-    const char *End = Text.data() + Text.size();
-    const auto [Rest, Error] =
-        std::from_chars(Text.data() + Colon + 1, End, Port);
-    if (Error == std::errc() && Rest == End) {
-      return {.Host = Text.substr(0, Colon), .Port = Port};
-    }
+  if (const auto Address = parsePeerAddress(Text)) {
+    return *Address;
   }
   exitWith(ExitUsage, "not an address: " + Text);
 }
 
-std::string toString(const peer_address &Address) {
-  return Address.Host + ":" + std::to_string(Address.Port);
-}
-
 boost::program_options::variables_map
 optionsOrExit(int argc, char **argv,
               const boost::program_options::options_description &Options) {
@@ -60,7 +48,7 @@
   peer_address Address = addressOrExit(Listen);
   const auto Port = Server.listen(Address);
   if (const auto *Findings = std::get_if<findings>(&Port)) {
-    exitWith(ExitFailure, crocuswood::toString(*Findings));
+    exitWith(ExitFailure, toString(*Findings));
   }
   Address.Port = std::get<std::uint16_t>(Port);
   std::cout << "listening " << toString(Address) << std::endl;
