--- a/tests/http/platform_client_test.cpp
+++ b/tests/http/platform_client_test.cpp
@@ -1,9 +1,9 @@
 #include "test_support.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <optional>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 using namespace crocuswood::http;
 using namespace crocuswood::http::test;
--- a/tests/model/ids_test.cpp
+++ b/tests/model/ids_test.cpp
@@ -1,9 +1,9 @@
 #include <crocuswood/model.h>
 
-#include <CppUTest/TestHarness.h>
-
 #include <set>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 
 TEST_GROUP(Ids){};
--- a/tests/platform/entry_registry_test.cpp
+++ b/tests/platform/entry_registry_test.cpp
@@ -2,11 +2,11 @@
 
 #include <crocuswood/platform.h>
 
-#include <CppUTest/TestHarness.h>
-
 #include <memory>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 using namespace crocuswood::platform;
 using namespace std::chrono_literals;
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,9 +1,9 @@
 #include <crocuswood/settings.h>
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 
 namespace {
--- a/tests/stand_ins/common/stand_in.cpp
+++ b/tests/stand_ins/common/stand_in.cpp
@@ -33,10 +33,6 @@
   exitWith(ExitUsage, "not an address: " + Text);
 }
 
-std::string toString(const peer_address &Address) {
-  return Address.Host + ":" + std::to_string(Address.Port);
-}
-
 boost::program_options::variables_map
 optionsOrExit(int argc, char **argv,
               const boost::program_options::options_description &Options) {
@@ -63,7 +59,7 @@
     exitWith(ExitFailure, crocuswood::toString(*Findings));
   }
   Address.Port = std::get<std::uint16_t>(Port);
-  std::cout << "listening " << toString(Address) << std::endl;
+  std::cout << "listening " << crocuswood::toString(Address) << std::endl;
   return Address;
 }
 
--- a/tests/stand_ins/common/stand_in.h
+++ b/tests/stand_ins/common/stand_in.h
@@ -17,9 +17,6 @@
 /// Parses `IP:PORT`; exits with status 2 if \p Text is something else.
 peer_address addressOrExit(const std::string &Text);
 
-/// \returns `IP:PORT`.
-std::string toString(const peer_address &Address);
-
 /// Parses the command line; prints the help or the fault and exits if there is
 /// nothing to run.
 boost::program_options::variables_map
--- a/tests/stand_ins/endpoint/announcer.cpp
+++ b/tests/stand_ins/endpoint/announcer.cpp
@@ -59,7 +59,7 @@
 
 std::string announcer::write() const {
   return nlohmann::json{{"name", Announcement.Name},
-                        {"address", toString(Announcement.Address)},
+                        {"address", crocuswood::toString(Announcement.Address)},
                         {"classes", Announcement.Classes},
                         {"slots", Announcement.Slots},
                         {"memory_bytes", Announcement.MemoryBytes},
--- a/tests/timeline/explain_test.cpp
+++ b/tests/timeline/explain_test.cpp
@@ -1,11 +1,11 @@
 #include <crocuswood/timeline.h>
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <string>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 
 namespace {
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -3,10 +3,10 @@
 
 #include <crocuswood/wire.h>
 
-#include <CppUTest/TestHarness.h>
-
 #include <string>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 using namespace crocuswood::wire_test;
 
