Read real numbers that were packed as integers

Cause: the writer packs a real number without a fraction as an integer, and the reader refused it, so a team without a quota closed every link at the first push of the configuration. Ruled out: the links themselves; they stayed open until the push. Before: Codec.EveryMessageTypeSurvives fails with quotas of 0 and 200. After: it passes.

--- a/packages/wire/src/envelope_reader.h
+++ b/packages/wire/src/envelope_reader.h
@@ -40,7 +40,16 @@
     return true;
   }
 
+  // A real number without a fraction arrives as an integer.
   bool read(double &Value) {
+    if (peekKind() == token_kind::Unsigned) {
+      Value = static_cast<double>(take().Unsigned);
+      return true;
+    }
+    if (peekKind() == token_kind::Signed) {
+      Value = static_cast<double>(take().Signed);
+      return true;
+    }
     if (!expect(token_kind::Real)) {
       return false;
     }
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -39,7 +39,11 @@
                         .Idempotent = false,
                         .MemoryBytes = 1U << 20U,
                         .Accelerators = 1}}},
-          .Teams = {{"valbrenta",
+          // The writer packs real numbers without a fraction as integers.
+          .Teams = {{"fraser", {.Name = "fraser", .TaskStartsPerSecond = 0}},
+                    {"marostica",
+                     {.Name = "marostica", .TaskStartsPerSecond = 200}},
+                    {"valbrenta",
                      {.Name = "valbrenta", .TaskStartsPerSecond = 50.5}}}};
 }
 
