Record each answer once

Cause: the entry core and the callers' thread both recorded answer_sent. Change: only the core records it. Before: 2456 events for 1228 answers.

--- a/programs/crocuswoodd/entry_decisions.cpp
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -36,20 +36,7 @@
 }
 
 void entry_decisions::takeFrontItem(instant Now, front_item Item) {
-  std::visit(
-      overloaded{
-          [&](entry::job_submitted &Submitted) {
-            handle(Now, std::move(Submitted));
-          },
-          [&](entry::job_cancelled &Cancelled) { handle(Now, Cancelled); },
-          [&](const answer_written &Written) {
-            getRecorder().record({.Kind = Written.Delivered
-                                              ? event_kind::AnswerSent
-                                              : event_kind::AnswerDropped,
-                                  .Job = Written.Job,
-                                  .Digest = Written.Digest});
-          }},
-      Item);
+  std::visit([&](auto &Event) { handle(Now, std::move(Event)); }, Item);
 }
 
 void entry_decisions::takePlatformItem(instant Now, platform_item Item) {
--- a/programs/crocuswoodd/front_duty.cpp
+++ b/programs/crocuswoodd/front_duty.cpp
@@ -46,13 +46,8 @@
 void front_duty::takeAnswers() {
   entry::answer_caller Answer;
   while (FromDecisions.tryPop(Answer)) {
-    const bool Delivered = Front.answer(Answer.Request, Answer.Answer);
-    ToDecisions.push(answer_written{.Job = Answer.Answer.Job,
-                                    .Digest = digest(Answer.Answer.Outcome),
-                                    .Delivered = Delivered});
-  }
-  if (ToDecisions.isBlocked()) {
-    Retry.arm();
+    // A caller that has gone was reported by jobCancelled() already.
+    Front.answer(Answer.Request, Answer.Answer);
   }
 }
 
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -48,14 +48,7 @@
 
 // Front to decisions.
 
-/// Whether the caller of an answer was still there.
-struct answer_written {
-  std::optional<job_id> Job;
-  std::uint64_t Digest = 0; ///< Of the outcome as it was written.
-  bool Delivered = false;
-};
-using front_item =
-    std::variant<entry::job_submitted, entry::job_cancelled, answer_written>;
+using front_item = std::variant<entry::job_submitted, entry::job_cancelled>;
 
 // Platform to decisions.
 
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -29,22 +29,22 @@
 }
 
 inline configuration makeConfiguration() {
-  return {.Revision = 12,
-          .ChangeId = "change-12",
-          .Classes = {{"pivot-check",
-                       {.Name = "pivot-check",
-                        .AnswerWithin = std::chrono::milliseconds(400),
-                        .Quantile = 0.95,
-                        .RefuseAtMost = 0.01,
-                        .Idempotent = false,
-                        .MemoryBytes = 1U << 20U,
-                        .Accelerators = 1}}},
-          // The writer packs real numbers without a fraction as integers.
-          .Teams = {{"fraser", {.Name = "fraser", .TaskStartsPerSecond = 0}},
-                    {"marostica",
-                     {.Name = "marostica", .TaskStartsPerSecond = 200}},
-                    {"valbrenta",
-                     {.Name = "valbrenta", .TaskStartsPerSecond = 50.5}}}};
+  return {
+      .Revision = 12,
+      .ChangeId = "change-12",
+      .Classes = {{"pivot-check",
+                   {.Name = "pivot-check",
+                    .AnswerWithin = std::chrono::milliseconds(400),
+                    .Quantile = 0.95,
+                    .RefuseAtMost = 0.01,
+                    .Idempotent = false,
+                    .MemoryBytes = 1U << 20U,
+                    .Accelerators = 1}}},
+      // The writer packs real numbers without a fraction as integers.
+      .Teams = {
+          {"fraser", {.Name = "fraser", .TaskStartsPerSecond = 0}},
+          {"marostica", {.Name = "marostica", .TaskStartsPerSecond = 200}},
+          {"valbrenta", {.Name = "valbrenta", .TaskStartsPerSecond = 50.5}}}};
 }
 
 inline place_task makePlacement(std::uint32_t Index) {
