--- /dev/null
+++ b/packages/entry/src/admission.cpp
@@ -0,0 +1,174 @@
+#include "admission.h"
+
+#include <algorithm>
+
+namespace crocuswood::entry {
+
+namespace {
+
+constexpr duration PartLength = std::chrono::seconds(6);
+// Jobs taken as late may wait for this many times their target.
+constexpr int LateTargets = 8;
+constexpr duration LeastLateLimit = std::chrono::seconds(5);
+// Part of the target that a wait may always take, however long tasks run.
+constexpr int LeastWaitDivisor = 10;
+// Bounds and step of the tolerances.
+constexpr double MinTolerance = 0.25;
+constexpr double MaxTolerance = 1;
+constexpr double ToleranceStep = 0.05;
+// Classes with fewer jobs in the window do not move the tolerances.
+constexpr std::uint32_t EnoughJobs = 20;
+
+double seconds(duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+admission::window &admission::windowOf(class_index Class) {
+  if (Class >= Windows.size()) {
+    Windows.resize(Class + 1);
+  }
+  return Windows[Class];
+}
+
+admission::counts &admission::currentPart(window &Window) {
+  return Window.Parts[Part];
+}
+
+// Expected waits.
+
+duration admission::expectedWait(class_index Class) {
+  window &Window = windowOf(Class);
+  if (Window.Slots == 0) {
+    Window.Slots = State.Companions.countSlots(Class);
+  }
+  if (Window.Slots == 0) {
+    return {};
+  }
+  const double Target = seconds(State.Classes[Class].Spec.AnswerWithin);
+  double Work = 0;
+  for (class_index Other = 0; Other < State.Queue.getClassCount(); ++Other) {
+    const double OtherTarget = seconds(State.Classes[Other].Spec.AnswerWithin);
+    // Of a class with a longer target, only the older jobs go first.
+    const double Ahead = OtherTarget <= Target ? 1 : Target / OtherTarget;
+    Work += seconds(State.Queue.getWork(Other)) * Ahead;
+  }
+  // The other entries are taken to have as much waiting as this one.
+  Work *= State.Companions.countEntries();
+  return fromSeconds((Work + seconds(QueuedRunTime)) / Window.Slots);
+}
+
+duration admission::lateWait(class_index Class) {
+  const std::uint32_t Slots = std::max(1U, windowOf(Class).Slots);
+  return State.Queue.getLateWork() *
+         static_cast<std::int64_t>(State.Companions.countEntries()) /
+         static_cast<std::int64_t>(Slots);
+}
+
+duration admission::longestWait(class_index Class) {
+  const work_class &Work = State.Classes[Class];
+  const duration Target = Work.Spec.AnswerWithin;
+  const duration Left = Target - Work.expect(std::nullopt);
+  return fromSeconds(seconds(std::max(Left, Target / LeastWaitDivisor)) *
+                     windowOf(Class).Tolerance);
+}
+
+// Decisions.
+
+bool admission::mayRefuse(const window &Window, class_index Class) const {
+  const double Share = State.Classes[Class].Spec.RefuseAtMost;
+  return Window.Sum.Refused + 1 <= Share * (Window.Sum.Submitted);
+}
+
+job_failure admission::refuse(class_index Class, duration Wait) {
+  window &Window = windowOf(Class);
+  ++currentPart(Window).Refused;
+  ++Window.Sum.Refused;
+  return {.Code = failure_code::Overloaded,
+          .Certainty = run_certainty::NotRun,
+          .Reason = "The job would miss its target.",
+          .RetryAfter = Wait};
+}
+
+std::variant<admission_kind, job_failure> admission::decide(class_index Class) {
+  window &Window = windowOf(Class);
+  ++currentPart(Window).Submitted;
+  ++Window.Sum.Submitted;
+  const duration Wait = expectedWait(Class);
+  if (Wait <= longestWait(Class)) {
+    return admission_kind::OnTime;
+  }
+  const duration Late = Wait + lateWait(Class);
+  const duration LateLimit = std::max(
+      State.Classes[Class].Spec.AnswerWithin * LateTargets, LeastLateLimit);
+  if (mayRefuse(Window, Class) || Late > LateLimit) {
+    return refuse(Class, Late);
+  }
+  return admission_kind::Late;
+}
+
+void admission::noteAnswer(class_index Class, bool Missed) {
+  if (Missed) {
+    window &Window = windowOf(Class);
+    ++currentPart(Window).Missed;
+    ++Window.Sum.Missed;
+  }
+}
+
+// Spreading of misses.
+
+double admission::pressureOf(class_index Class) {
+  const window &Window = windowOf(Class);
+  const class_spec &Spec = State.Classes[Class].Spec;
+  const double Submitted = std::max(1U, Window.Sum.Submitted);
+  const double Refused = Window.Sum.Refused / Submitted;
+  const double Excess = std::max(0.0, Refused - Spec.RefuseAtMost);
+  return Window.Sum.Missed / Submitted - (1 - Spec.Quantile) + Excess;
+}
+
+void admission::balanceTolerances() {
+  double Worst = 0;
+  for (class_index Class = 0; Class < Windows.size(); ++Class) {
+    if (Windows[Class].Sum.Submitted >= EnoughJobs) {
+      Worst = std::max(Worst, pressureOf(Class));
+    }
+  }
+  for (class_index Class = 0; Class < Windows.size(); ++Class) {
+    // Classes that do better than the worst give way, all others recover.
+    const bool GivesWay = Worst > 0 && pressureOf(Class) < Worst / 2;
+    const double Step = GivesWay ? -ToleranceStep : ToleranceStep;
+    Windows[Class].Tolerance =
+        std::clamp(Windows[Class].Tolerance + Step, MinTolerance, MaxTolerance);
+  }
+}
+
+void admission::checkTimes() {
+  QueuedRunTime = duration{};
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    QueuedRunTime += State.Companions[Index].Load.QueuedRunTime;
+  }
+  for (class_index Class = 0; Class < Windows.size(); ++Class) {
+    Windows[Class].Slots = State.Companions.countSlots(Class);
+  }
+  balanceTolerances();
+  if (State.now() < PartEnds) {
+    return;
+  }
+  PartEnds = State.now() + PartLength;
+  Part = (Part + 1) % WindowParts;
+  for (window &Window : Windows) {
+    counts &Oldest = currentPart(Window);
+    Window.Sum.Submitted -= Oldest.Submitted;
+    Window.Sum.Refused -= Oldest.Refused;
+    Window.Sum.Missed -= Oldest.Missed;
+    Oldest = counts();
+  }
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/admission.h
@@ -0,0 +1,70 @@
+/// \file
+/// Decides which jobs are taken under load.
+#pragma once
+
+#include "entry_state.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace crocuswood::entry {
+
+/// How a job is taken.
+enum class admission_kind : std::uint8_t {
+  OnTime, ///< It can meet its target.
+  Late,   ///< It can't; it runs when nothing on time waits.
+};
+
+/// Compares the expected wait of a job with its target.
+///
+/// A job that would miss its target is refused as long as its class may refuse
+/// more. After that it is taken as late, so that it does not make the jobs
+/// behind it miss their targets, too. When the late jobs alone would take far
+/// too long, all that would be late are refused.
+class admission {
+public:
+  explicit admission(entry_state &State) : State(State) {}
+
+  /// \returns how to take a job of \p Class, or why to refuse it.
+  std::variant<admission_kind, job_failure> decide(class_index Class);
+  /// Notes that a job of \p Class was answered.
+  void noteAnswer(class_index Class, bool Missed);
+  /// Moves the window on and brings the figures of the fleet up to date.
+  void checkTimes();
+
+private:
+  static constexpr std::size_t WindowParts = 10;
+
+  struct counts {
+    std::uint32_t Submitted = 0;
+    std::uint32_t Refused = 0;
+    std::uint32_t Missed = 0; ///< Taken as late, or answered too late.
+  };
+  struct window {
+    std::array<counts, WindowParts> Parts{};
+    counts Sum;
+    std::uint32_t Slots = 0;
+    double Tolerance = 1; ///< Part of the target that a wait may take.
+  };
+
+  window &windowOf(class_index Class);
+  counts &currentPart(window &Window);
+  duration expectedWait(class_index Class);
+  duration lateWait(class_index Class);
+  duration longestWait(class_index Class);
+  bool mayRefuse(const window &Window, class_index Class) const;
+  job_failure refuse(class_index Class, duration Wait);
+  double pressureOf(class_index Class);
+  void balanceTolerances();
+
+  entry_state &State;
+  std::vector<window> Windows;
+  std::size_t Part = 0;
+  instant PartEnds;
+  duration QueuedRunTime{}; ///< On all companions together.
+};
+
+} // namespace crocuswood::entry
--- a/packages/entry/src/capacity_index.h
+++ b/packages/entry/src/capacity_index.h
@@ -17,8 +17,8 @@
 class capacity_index {
 public:
   /// Room is kept within these bounds.
-  static constexpr std::int32_t MinRoom = -64;
-  static constexpr std::int32_t MaxRoom = 256;
+  static constexpr std::int32_t MinRoom = -16;
+  static constexpr std::int32_t MaxRoom = 64;
 
   /// Adds \p Companion, or changes what is known of it. \p Classes is sorted.
   void set(companion_index Companion, const std::vector<class_index> &Classes,
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -37,8 +37,10 @@
   std::uint32_t UsedAccelerators = 0;
 
   bool SetAside = false;
-  std::uint32_t Allowed = 0; ///< Most outstanding tasks while it is not
-                             ///< trusted in full.
+  std::optional<std::uint32_t> Allowed; ///< Most outstanding tasks while it is
+                                        ///< not trusted in full.
+  std::vector<class_index> Barred;      ///< Classes that it must not get now.
+  std::vector<class_index> Runnable;    ///< Classes that it can run, sorted.
   bool ReportUnused = false; ///< A load report led to no placement yet.
 
   outbox Outbox;
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -38,6 +38,7 @@
   if (Record.Link) {
     Links.erase(static_cast<std::uint64_t>(*Record.Link));
   }
+  setRunnable(Record, {});
   Capacity.remove(Index);
   Names.erase(Record.Id.Name);
   std::erase(DirtyList, Index);
@@ -148,23 +149,48 @@
   const auto Slots = static_cast<std::int32_t>(Record.Endpoint.Slots);
   const std::int32_t Room =
       Slots - static_cast<std::int32_t>(estimateTasks(Index));
-  if (Record.Allowed == 0) {
+  if (!Record.Allowed) {
     return Room;
   }
-  const auto Allowed = static_cast<std::int32_t>(Record.Allowed) -
+  const auto Allowed = static_cast<std::int32_t>(*Record.Allowed) -
                        static_cast<std::int32_t>(Record.Outstanding.size());
+  if (Record.SetAside && Allowed > 0) {
+    // A probe must go out although others have more room.
+    return capacity_index::MaxRoom;
+  }
   // Without allowance left, no policy may queue here either.
   return Allowed > 0 ? std::min(Room, Allowed) : capacity_index::MinRoom;
 }
 
 void companion_table::refreshClasses(companion_index Index) {
-  const companion_record &Record = Records[Index];
+  companion_record &Record = Records[Index];
   if (!mayServe(Record)) {
+    setRunnable(Record, {});
     Capacity.remove(Index);
     return;
   }
-  Capacity.set(Index, runnableClasses(Record), Record.Zone == Zone,
-               roomOf(Record));
+  setRunnable(Record, runnableClasses(Record));
+  std::vector<class_index> Allowed;
+  std::set_difference(Record.Runnable.begin(), Record.Runnable.end(),
+                      Record.Barred.begin(), Record.Barred.end(),
+                      std::back_inserter(Allowed));
+  Capacity.set(Index, Allowed, Record.Zone == Zone, roomOf(Record));
+}
+
+void companion_table::setRunnable(companion_record &Record,
+                                  std::vector<class_index> Runnable) {
+  Runners.resize(std::max<std::size_t>(Runners.size(), Classes.getCount()));
+  for (const class_index Class : Record.Runnable) {
+    --Runners[Class];
+  }
+  Record.Runnable = std::move(Runnable);
+  for (const class_index Class : Record.Runnable) {
+    ++Runners[Class];
+  }
+}
+
+std::uint32_t companion_table::countRunners(class_index Class) const {
+  return Class < Runners.size() ? Runners[Class] : 0;
 }
 
 void companion_table::refreshAllClasses() {
@@ -194,14 +220,14 @@
   return Slots;
 }
 
-std::uint32_t companion_table::countEntries() const {
+void companion_table::refreshEntries() {
   std::uint32_t Entries = 1;
   for (const auto &[Name, Index] : Names) {
     if (Records[Index].Link) {
       Entries = std::max(Entries, Records[Index].Entries);
     }
   }
-  return Entries;
+  LiveEntries = Entries;
 }
 
 outbox &companion_table::openOutbox(companion_index Index) {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -61,10 +61,16 @@
   bool hasNeeds(companion_index Index, class_index Class) const;
   /// \returns tasks that the companion has by the entry's estimate.
   std::uint32_t estimateTasks(companion_index Index) const;
-  /// \returns slots of all linked and serving companions that run \p Class.
+  /// \returns linked and serving companions that can run \p Class, those
+  /// barred from it included.
+  std::uint32_t countRunners(class_index Class) const;
+  /// \returns slots of the companions that may be given \p Class.
   std::uint32_t countSlots(class_index Class) const;
+
+  /// Counts the live entries anew from what the companions have told.
+  void refreshEntries();
   /// \returns entries that share the companions, this one included.
-  std::uint32_t countEntries() const;
+  std::uint32_t countEntries() const { return LiveEntries; }
 
   /// Puts the companion into the list of those to flush.
   outbox &openOutbox(companion_index Index);
@@ -73,6 +79,7 @@
 private:
   bool mayServe(const companion_record &Record) const;
   std::vector<class_index> runnableClasses(const companion_record &R) const;
+  void setRunnable(companion_record &Record, std::vector<class_index> Runnable);
   std::int32_t roomOf(const companion_record &Record) const;
 
   const class_table &Classes;
@@ -83,6 +90,8 @@
   std::unordered_map<std::uint64_t, companion_index> Links;
   capacity_index Capacity;
   std::vector<companion_index> DirtyList;
+  std::vector<std::uint32_t> Runners; ///< By class.
+  std::uint32_t LiveEntries = 1;
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -18,9 +18,10 @@
 } // namespace
 
 core::implementation::implementation(options Given)
-    : State(std::move(Given)), Claims(State), Jobs(State, Claims),
-      Ends(State, Jobs), Configurations(State),
-      Links(State, Ends, Configurations), Dispatcher(State) {}
+    : State(std::move(Given)), Health(State), Admission(State), Claims(State),
+      Jobs(State, Claims, Admission), Ends(State, Jobs, Health),
+      Configurations(State), Links(State, Ends, Configurations, Health),
+      Dispatcher(State, Health) {}
 
 void core::implementation::handle(instant Now, event Event,
                                   std::vector<action> &Actions) {
@@ -68,6 +69,10 @@
       State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
   Links.checkTimes();
   Claims.retryUnsettled();
+  State.Companions.refreshEntries();
+  Health.checkTimes();
+  Admission.checkTimes();
+  Jobs.checkEndpoints();
   State.Teams.setEntries(State.Companions.countEntries(), State.now());
 }
 
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -2,10 +2,12 @@
 /// The decision core's parts put together.
 #pragma once
 
+#include "admission.h"
 #include "claim_manager.h"
 #include "configuration_keeper.h"
 #include "dispatcher.h"
 #include "entry_state.h"
+#include "health.h"
 #include "job_manager.h"
 #include "link_manager.h"
 #include "task_ends.h"
@@ -35,6 +37,8 @@
   void requestStop();
 
   entry_state State;
+  health Health;
+  admission Admission;
   claim_manager Claims;
   job_manager Jobs;
   task_ends Ends;
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -4,8 +4,8 @@
 
 namespace crocuswood::entry {
 
-dispatcher::dispatcher(entry_state &State)
-    : State(State),
+dispatcher::dispatcher(entry_state &State, health &Health)
+    : State(State), Health(Health),
       Policy(makePolicy(State.Options.Policy, State.Options.Seed)) {}
 
 void dispatcher::run() {
@@ -156,6 +156,7 @@
   }
   State.Companions.openOutbox(Companion).addPlacement(
       {.Task = Task, .Message = std::move(Message)});
+  Health.notePlaced(Companion, Job.Class);
   companion_record &Record = State.Companions[Companion];
   if (Record.ReportUnused) {
     Record.ReportUnused = false;
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry_state.h"
+#include "health.h"
 #include "placement_policy.h"
 
 #include <memory>
@@ -14,7 +15,7 @@
 /// Takes the most urgent tasks and places them while the policy finds room.
 class dispatcher {
 public:
-  explicit dispatcher(entry_state &State);
+  dispatcher(entry_state &State, health &Health);
 
   /// Places what can be placed now.
   void run();
@@ -39,6 +40,7 @@
   void place(const task_ref &Task, companion_index Companion, instant Due);
 
   entry_state &State;
+  health &Health;
   std::unique_ptr<placement_policy> Policy;
   std::vector<bool> Blocked; ///< Classes without room in the current run.
 };
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -10,6 +10,8 @@
 // How long an answer that is due waits for the proof that nothing has run.
 constexpr duration CertaintyLimit = std::chrono::milliseconds(250);
 constexpr duration NotReadyRetry = std::chrono::seconds(1);
+// How long a job waits for an endpoint that could run it to appear.
+constexpr duration EndpointGrace = std::chrono::seconds(2);
 
 job_failure notRun(failure_code Code, std::string Reason,
                    std::optional<duration> RetryAfter = std::nullopt) {
@@ -27,8 +29,9 @@
 
 } // namespace
 
-job_manager::job_manager(entry_state &State, claim_manager &Claims)
-    : State(State), Claims(Claims) {}
+job_manager::job_manager(entry_state &State, claim_manager &Claims,
+                         admission &Admission)
+    : State(State), Claims(Claims), Admission(Admission) {}
 
 // Submission.
 
@@ -68,13 +71,18 @@
 }
 
 std::optional<job_failure>
-job_manager::findOverload(const job_request &Request) const {
+job_manager::findOverload(const job_request &Request) {
   if (State.UnfinishedTasks + Request.Tasks.size() >
       State.Options.MaxOutstandingTasks) {
     return notRun(failure_code::Overloaded,
                   "This entry has too many unfinished tasks.", NotReadyRetry);
   }
   const class_index Class = *State.Classes.find(Request.Class);
+  if (hasNoEndpoint(Class)) {
+    return notRun(failure_code::NoEndpoint,
+                  "No endpoint can run class '" + Request.Class + "'.",
+                  EndpointGrace);
+  }
   const team_index Team = *State.Teams.find(Request.Team);
   const duration Wait = State.Teams.expectedWait(
       Team, static_cast<std::uint32_t>(Request.Tasks.size()));
@@ -100,11 +108,29 @@
   if (!Failure) {
     Failure = findOverload(Event.Job);
   }
+  auto Kind = admission_kind::OnTime;
+  if (!Failure) {
+    auto Decision = Admission.decide(*State.Classes.find(Event.Job.Class));
+    if (auto *Refused = std::get_if<job_failure>(&Decision)) {
+      Failure = std::move(*Refused);
+    } else {
+      Kind = std::get<admission_kind>(Decision);
+    }
+  }
   if (Failure) {
     refuse(Id, Event.Request, Event.Job, std::move(*Failure));
     return;
   }
-  accept(Id, std::move(Event), Digest);
+  job &Job = accept(Id, std::move(Event), Digest);
+  Job.Late = Kind == admission_kind::Late;
+  if (State.Classes[Job.Class].Spec.Idempotent) {
+    activate(Job);
+    return;
+  }
+  Job.Phase = job_phase::Claiming;
+  const instant ClaimEnd = State.now() + State.Options.ClaimLimit;
+  State.Jobs.setTimer(Job, std::min(ClaimEnd, Job.Deadline.value_or(ClaimEnd)));
+  Claims.ask(Job);
 }
 
 void job_manager::refuse(const job_id &Id, request_id Request,
@@ -127,7 +153,7 @@
                                 .Answer = {.Job = Id, .Outcome = Outcome}});
 }
 
-void job_manager::accept(const job_id &Id, job_submitted Event,
+job &job_manager::accept(const job_id &Id, job_submitted Event,
                          std::uint64_t Digest) {
   job &Job = State.Jobs.add(Id, Event.Request);
   Job.Class = *State.Classes.find(Event.Job.Class);
@@ -147,14 +173,7 @@
   Job.Waiting = Count;
   State.UnfinishedTasks += Count;
   State.Teams.addWaiting(Job.Team, Count);
-  if (State.Classes[Job.Class].Spec.Idempotent) {
-    activate(Job);
-    return;
-  }
-  Job.Phase = job_phase::Claiming;
-  const instant ClaimEnd = State.now() + State.Options.ClaimLimit;
-  State.Jobs.setTimer(Job, std::min(ClaimEnd, Job.Deadline.value_or(ClaimEnd)));
-  Claims.ask(Job);
+  return Job;
 }
 
 void job_manager::activate(job &Job) {
@@ -259,6 +278,30 @@
   }
 }
 
+bool job_manager::hasNoEndpoint(class_index Class) const {
+  return State.Companions.countRunners(Class) == 0 &&
+         Class < RunnableAt.size() &&
+         State.now() - RunnableAt[Class] > EndpointGrace;
+}
+
+void job_manager::checkEndpoints() {
+  RunnableAt.resize(State.Classes.getCount(), State.now());
+  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+    if (State.Companions.countRunners(Class) > 0) {
+      RunnableAt[Class] = State.now();
+      continue;
+    }
+    if (!hasNoEndpoint(Class)) {
+      continue;
+    }
+    while (job *Job = State.Queue.getAny(Class)) {
+      fail(*Job, {.Code = failure_code::NoEndpoint,
+                  .Reason = "No endpoint can run class '" +
+                            State.Classes[Class].Spec.Name + "'."});
+    }
+  }
+}
+
 void job_manager::expire(job &Job) {
   if (Job.Phase == job_phase::Answered) {
     // The answer to the claim no longer matters.
@@ -392,9 +435,10 @@
 void job_manager::countAnswer(const job &Job, bool Completed) {
   work_class &Class = State.Classes[Job.Class];
   ++(Completed ? Class.Counters.Completed : Class.Counters.Failed);
-  if (Completed && State.now() - Job.Arrival > Class.Spec.AnswerWithin) {
-    ++Class.Counters.Missed;
-  }
+  const bool Missed =
+      Completed && State.now() - Job.Arrival > Class.Spec.AnswerWithin;
+  Class.Counters.Missed += Missed ? 1 : 0;
+  Admission.noteAnswer(Job.Class, Missed);
 }
 
 void job_manager::sendAnswer(job &Job, job_outcome Outcome) {
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -2,11 +2,13 @@
 /// The life of a job from its submission to its one answer.
 #pragma once
 
+#include "admission.h"
 #include "claim_manager.h"
 #include "entry_state.h"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocuswood::entry {
 
@@ -14,13 +16,15 @@
 /// fail.
 class job_manager {
 public:
-  job_manager(entry_state &State, claim_manager &Claims);
+  job_manager(entry_state &State, claim_manager &Claims, admission &Admission);
 
   void submit(job_submitted Event);
   void cancel(const job_cancelled &Event);
   void takeClaim(const claim_answered &Event);
   /// Handles jobs whose deadline or other time limit has passed.
   void expireTimers();
+  /// Fails the waiting jobs of classes that no endpoint can run.
+  void checkEndpoints();
 
   /// Fails \p Job for its first reason and withdraws what can be withdrawn.
   void fail(job &Job, job_failure Failure);
@@ -31,10 +35,11 @@
 private:
   /// \returns why \p Request can't be taken, before load is looked at.
   std::optional<job_failure> findFault(const job_request &Request) const;
-  std::optional<job_failure> findOverload(const job_request &Request) const;
+  std::optional<job_failure> findOverload(const job_request &Request);
+  bool hasNoEndpoint(class_index Class) const;
   void refuse(const job_id &Id, request_id Request, const job_request &Job,
               job_failure Failure);
-  void accept(const job_id &Id, job_submitted Event, std::uint64_t Digest);
+  job &accept(const job_id &Id, job_submitted Event, std::uint64_t Digest);
   void activate(job &Job);
   void takeHeldClaim(job &Job, const claim_answered &Event);
   void refuseClaim(job &Job, const std::string &Reason);
@@ -49,6 +54,8 @@
 
   entry_state &State;
   claim_manager &Claims;
+  admission &Admission;
+  std::vector<instant> RunnableAt; ///< By class: when it last had a runner.
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 link_manager::link_manager(entry_state &State, task_ends &Ends,
-                           configuration_keeper &Configurations)
-    : State(State), Ends(Ends), Configurations(Configurations) {}
+                           configuration_keeper &Configurations, health &Health)
+    : State(State), Ends(Ends), Configurations(Configurations), Health(Health) {
+}
 
 void link_manager::open(link_id Link) {
   Pending[static_cast<std::uint64_t>(Link)] = State.now();
@@ -102,7 +103,9 @@
                                     const companion_hello &Hello) {
   const companion_index Known = State.Companions.find(Hello.Companion.Name);
   if (Known == NoCompanion) {
-    return State.Companions.add(Hello.Companion);
+    const companion_index Added = State.Companions.add(Hello.Companion);
+    Health.welcome(Added);
+    return Added;
   }
   companion_record &Record = State.Companions[Known];
   const auto &Replaced = Record.Replaced;
@@ -129,6 +132,7 @@
   }
   Record.Id = Next;
   Record.Outbox.clear();
+  Health.welcome(Companion);
 }
 
 void link_manager::greet(companion_index Companion) {
--- a/packages/entry/src/link_manager.h
+++ b/packages/entry/src/link_manager.h
@@ -4,6 +4,7 @@
 
 #include "configuration_keeper.h"
 #include "entry_state.h"
+#include "health.h"
 #include "task_ends.h"
 
 #include <string>
@@ -17,7 +18,7 @@
 class link_manager {
 public:
   link_manager(entry_state &State, task_ends &Ends,
-               configuration_keeper &Configurations);
+               configuration_keeper &Configurations, health &Health);
 
   void open(link_id Link);
   void receive(link_id Link, std::vector<peer_message> Messages);
@@ -48,6 +49,7 @@
   entry_state &State;
   task_ends &Ends;
   configuration_keeper &Configurations;
+  health &Health;
   /// Links without a hello yet, and when they were opened.
   std::unordered_map<std::uint64_t, instant> Pending;
 };
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -9,11 +9,12 @@
 
 // A task given back more often than this fails its job.
 constexpr std::uint8_t MaxAttempts = 16;
+constexpr int RoundTripGrowth = 256;
 
 } // namespace
 
-task_ends::task_ends(entry_state &State, job_manager &Jobs)
-    : State(State), Jobs(Jobs) {}
+task_ends::task_ends(entry_state &State, job_manager &Jobs, health &Health)
+    : State(State), Jobs(Jobs), Health(Health) {}
 
 std::optional<task_ref> task_ends::findOutstanding(companion_index Companion,
                                                    const task_id &Task) {
@@ -74,7 +75,9 @@
                      .Task = Task.Index,
                      .Peer = State.companionName(Companion),
                      .Digest = digest(Completed.Output.getBytes())});
+  learnRoundTrip(Companion, Task.get(), Completed.RunTime);
   release(Task, task_state::Completed);
+  Health.noteCompleted(Companion, Job.Class, Task.get().PlacedAt);
   ++Job.Completed;
   Job.MayHaveRun = true;
   if (Job.Phase == job_phase::Active) {
@@ -93,6 +96,7 @@
                      .Code = toString(failure_code::TaskFailed),
                      .Reason = Failed.Reason});
   release(Task, task_state::MayHaveRun);
+  Health.noteFailed(Companion, Job.Class, Task.get().PlacedAt);
   Job.MayHaveRun = true;
   Jobs.fail(Job, {.Code = failure_code::TaskFailed,
                   .Reason = "A task failed: " + Failed.Reason,
@@ -107,6 +111,11 @@
   State.Messages.Wasted += 2;
   State.Sink.recordTask(event_kind::TaskReturned, Task.getId(), Record.Id.Name,
                         toString(Reason));
+  if (Reason == not_started_reason::Unreachable) {
+    Health.noteUnreachable(Companion, Job.Class);
+  } else {
+    Health.noteReturned(Companion, Job.Class);
+  }
   if (Job.Phase != job_phase::Active) {
     release(Task, task_state::NotStarted);
     Jobs.progress(Job);
@@ -149,6 +158,18 @@
                   .Task = Task.Index});
 }
 
+void task_ends::learnRoundTrip(companion_index Companion, const task &Task,
+                               duration RunTime) {
+  duration &RoundTrip = State.Companions[Companion].RoundTrip;
+  const duration Sample = State.now() - Task.PlacedAt - RunTime;
+  const bool IsFirst = RoundTrip.count() == 0;
+  // The smallest sample had no wait in a queue. Letting the estimate grow
+  // slowly follows a path that has become longer.
+  RoundTrip = IsFirst || Sample < RoundTrip
+                  ? std::max(Sample, duration(1))
+                  : RoundTrip + (Sample - RoundTrip) / RoundTripGrowth;
+}
+
 void task_ends::takeBackUnwritten(companion_index Companion) {
   for (const pending_placement &Placement :
        State.Companions[Companion].Outbox.takePlacements()) {
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry_state.h"
+#include "health.h"
 #include "job_manager.h"
 
 #include <string>
@@ -12,7 +13,7 @@
 /// Takes the ends of tasks and passes on what follows for their jobs.
 class task_ends {
 public:
-  task_ends(entry_state &State, job_manager &Jobs);
+  task_ends(entry_state &State, job_manager &Jobs, health &Health);
 
   /// Takes the last word of a companion on a task.
   void takeEnd(companion_index Companion, task_ended End);
@@ -37,10 +38,13 @@
   void takeLoss(companion_index Companion, const task_ref &Task,
                 const std::string &Reason);
   void takeBack(const task_ref &Task);
+  void learnRoundTrip(companion_index Companion, const task &Task,
+                      duration RunTime);
   void release(const task_ref &Task, task_state Next);
 
   entry_state &State;
   job_manager &Jobs;
+  health &Health;
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/waiting_queue.cpp
+++ b/packages/entry/src/waiting_queue.cpp
@@ -1,5 +1,7 @@
 #include "waiting_queue.h"
 
+#include <algorithm>
+
 namespace crocuswood::entry {
 
 namespace {
@@ -35,12 +37,18 @@
   Job.Queued = false;
 }
 
-void waiting_queue::account(const job &Job, std::int64_t Tasks) {
+void waiting_queue::account(const job &Job, std::int32_t Sign) {
   lane &Lane = laneOf(Job);
-  const auto Change = static_cast<std::uint32_t>(Tasks);
+  const std::uint32_t Fresh = freshTasks(Job);
+  const std::uint32_t Change = Sign < 0 ? 0U - Fresh : Fresh;
   Count += Change;
   Lane.Count += Change;
-  (Job.Late ? LateWork : Lane.Work) += Job.ExpectedRunTime * Tasks;
+  if (Job.Late) {
+    LateWork += Job.ExpectedRunTime * static_cast<std::int64_t>(Fresh) * Sign;
+    return;
+  }
+  const std::uint32_t Share = std::min(Job.ShareLeft, Fresh);
+  Lane.Work += Job.ExpectedRunTime * static_cast<std::int64_t>(Share) * Sign;
 }
 
 void waiting_queue::add(job &Job, duration ExpectedRunTime) {
@@ -50,12 +58,12 @@
   }
   Job.ExpectedRunTime = ExpectedRunTime;
   insert(Job);
-  account(Job, freshTasks(Job));
+  account(Job, 1);
 }
 
 void waiting_queue::park(job &Job) {
   erase(Job);
-  account(Job, -static_cast<std::int64_t>(freshTasks(Job)));
+  account(Job, -1);
 }
 
 void waiting_queue::remove(job &Job) {
@@ -67,19 +75,20 @@
 
 std::uint32_t waiting_queue::take(job &Job, instant Now) {
   const std::uint32_t Index = Job.NextFresh;
+  account(Job, -1);
   ++Job.NextFresh;
   --Job.ShareLeft;
-  account(Job, -1);
-  if (freshTasks(Job) == 0) {
+  const bool IsEmpty = freshTasks(Job) == 0;
+  const bool StartsShare = !IsEmpty && Job.ShareLeft == 0;
+  if (IsEmpty || StartsShare) {
     erase(Job);
-    return Index;
   }
-  if (Job.ShareLeft == 0) {
-    erase(Job);
+  if (StartsShare) {
     Job.ShareSince = Now;
     Job.ShareLeft = ShareTasks;
     insert(Job);
   }
+  account(Job, 1);
   return Index;
 }
 
@@ -99,6 +108,11 @@
   return Lanes[Class].Late.begin()->Job;
 }
 
+job *waiting_queue::getAny(class_index Class) const {
+  const auto Front = getFront(Class, duration{});
+  return Front ? Front->Job : getLateFront(Class);
+}
+
 std::uint32_t waiting_queue::getCount(class_index Class) const {
   return Class < Lanes.size() ? Lanes[Class].Count : 0;
 }
--- a/packages/entry/src/waiting_queue.h
+++ b/packages/entry/src/waiting_queue.h
@@ -44,12 +44,14 @@
                                         duration Target) const;
   /// \returns the oldest job of \p Class among those admitted late.
   job *getLateFront(class_index Class) const;
+  /// \returns any queued job of \p Class, or null.
+  job *getAny(class_index Class) const;
 
   /// \returns tasks in the queue.
   std::uint32_t getCount() const { return Count; }
   std::uint32_t getCount(class_index Class) const;
-  /// \returns the expected run time of the queued tasks of \p Class together,
-  /// without those admitted late.
+  /// \returns the expected run time of the tasks of \p Class whose share has
+  /// been let in, without those admitted late. A new job waits for these.
   duration getWork(class_index Class) const;
   duration getLateWork() const { return LateWork; }
   class_index getClassCount() const {
@@ -78,7 +80,8 @@
   lane &laneOf(const job &Job);
   void insert(job &Job);
   void erase(job &Job);
-  void account(const job &Job, std::int64_t Tasks);
+  /// Adds the tasks of \p Job to the sums, or takes them out if \p Sign is -1.
+  void account(const job &Job, std::int32_t Sign);
 
   std::vector<lane> Lanes;
   std::uint32_t Count = 0;
