--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -14,7 +14,7 @@
 constexpr int LeastWaitDivisor = 10;
 // Bounds and step of the tolerances.
 constexpr double MinTolerance = 0.25;
-constexpr double MaxTolerance = 1;
+constexpr double MaxTolerance = 0.75;
 constexpr double ToleranceStep = 0.05;
 // Classes with fewer jobs in the window do not move the tolerances.
 constexpr std::uint32_t EnoughJobs = 20;
--- a/packages/entry/src/admission.h
+++ b/packages/entry/src/admission.h
@@ -47,7 +47,7 @@
     std::array<counts, WindowParts> Parts{};
     counts Sum;
     std::uint32_t Slots = 0;
-    double Tolerance = 1; ///< Part of the target that a wait may take.
+    double Tolerance = 0.75; ///< Part of the time left that a wait may take.
   };
 
   window &windowOf(class_index Class);
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -100,13 +100,13 @@
 }
 
 void companion_table::takeLoad(companion_index Index,
-                               const companion_load &Load, instant Now) {
+                               const companion_load &Load, instant SeenUntil) {
   companion_record &Record = Records[Index];
   if (Load.Sequence < Record.Load.Sequence) {
     return;
   }
   Record.Load = Load;
-  const instant SeenUntil = Now - Record.RoundTrip;
+
   while (!Record.Unseen.empty() && Record.Unseen.front() <= SeenUntil) {
     Record.Unseen.pop_front();
   }
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -47,8 +47,10 @@
   void assign(const task_ref &Task, companion_index Index, instant Now);
   /// Notes that \p Task is no longer on its companion.
   void release(const task_ref &Task);
-  /// Notes the slot that a task will keep although nobody waits for it.
-  void takeLoad(companion_index Index, const companion_load &Load, instant Now);
+  /// Takes a load that the companion has told. Placements written up to
+  /// \p SeenUntil are counted in it.
+  void takeLoad(companion_index Index, const companion_load &Load,
+                instant SeenUntil);
 
   /// Recomputes which classes the companion can run, after a change of its
   /// link, its endpoint, its standing or the configuration.
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -130,10 +130,17 @@
          .Load = Record.Load,
          .Outstanding = static_cast<std::uint32_t>(Record.Outstanding.size())});
   }
+  std::vector<std::uint32_t> Placed(State.Classes.getCount());
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    for (const task_ref &Task : State.Companions[Index].Outstanding) {
+      ++Placed[Task.Job->Class];
+    }
+  }
   for (class_index Index = 0; Index < State.Classes.getCount(); ++Index) {
     const work_class &Class = State.Classes[Index];
     class_status Counters = Class.Counters;
     Counters.WaitingTasks = State.Queue.getCount(Index);
+    Counters.PlacedTasks = Placed[Index];
     Status.Classes[Class.Spec.Name] = Counters;
   }
   Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Stopping;
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -174,7 +174,7 @@
   std::visit(
       overloads{
           [&](companion_heartbeat &Heartbeat) {
-            State.Companions.takeLoad(Companion, Heartbeat.Load, State.now());
+            takeLoad(Companion, Heartbeat.Load);
             State.Companions[Companion].Entries = Heartbeat.Entries;
             Configurations.noteRevision(Companion,
                                         Heartbeat.ConfigurationRevision);
@@ -195,7 +195,7 @@
             // Counted as waste until a placement follows from it.
             ++State.Messages.Wasted;
             State.Companions[Companion].ReportUnused = true;
-            State.Companions.takeLoad(Companion, Report.Load, State.now());
+            takeLoad(Companion, Report.Load);
           },
           [&](configuration_push &Push) {
             companion_record &Record = State.Companions[Companion];
@@ -209,6 +209,12 @@
       Message);
 }
 
+void link_manager::takeLoad(companion_index Companion,
+                            const companion_load &Load) {
+  const duration RoundTrip = State.Companions[Companion].RoundTrip;
+  State.Companions.takeLoad(Companion, Load, State.now() - RoundTrip);
+}
+
 void link_manager::close(link_id Link, const std::string &Reason) {
   if (Pending.erase(static_cast<std::uint64_t>(Link)) > 0) {
     return;
--- a/packages/entry/src/link_manager.h
+++ b/packages/entry/src/link_manager.h
@@ -38,6 +38,7 @@
   void greet(companion_index Companion);
   void resume(companion_index Companion);
   void dispatch(companion_index Companion, peer_message &Message);
+  void takeLoad(companion_index Companion, const companion_load &Load);
   void refuseLink(link_id Link, const std::string &Reason);
   void dropLink(companion_index Companion, const std::string &Reason);
   void closePendingLinks();
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -36,11 +36,15 @@
   const auto Task = findOutstanding(Companion, End.Task);
   if (!Task) {
     ++State.Messages.Wasted;
-    State.Companions.takeLoad(Companion, End.Load, State.now());
     State.Sink.recordTask(event_kind::TaskResultStale, End.Task,
                           State.companionName(Companion));
     return;
   }
+  // The companion had received every earlier placement before this end.
+  const instant PlacedAt = Task->get().PlacedAt;
+  const duration RoundTrip = State.Companions[Companion].RoundTrip;
+  State.Companions.takeLoad(Companion, End.Load,
+                            std::max(PlacedAt, State.now() - RoundTrip));
   if (auto *Completed = std::get_if<task_completed>(&End.End)) {
     takeOutput(Companion, *Task, *Completed);
   } else if (const auto *Failed = std::get_if<task_failed>(&End.End)) {
@@ -50,7 +54,6 @@
   } else {
     takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
   }
-  State.Companions.takeLoad(Companion, End.Load, State.now());
 }
 
 void task_ends::release(const task_ref &Task, task_state Next) {
