--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -18,9 +18,10 @@
 } // namespace
 
 core::implementation::implementation(options Given)
-    : State(std::move(Given)), Claims(State), Jobs(State, Claims),
-      Ends(State, Jobs), Configurations(State),
-      Links(State, Ends, Configurations), Dispatcher(State) {}
+    : State(std::move(Given)), Health(State), Admission(State), Claims(State),
+      Jobs(State, Claims, Admission), Ends(State, Jobs, Health),
+      Configurations(State), Links(State, Ends, Configurations, Health),
+      Dispatcher(State, Health) {}
 
 void core::implementation::handle(instant Now, event Event,
                                   std::vector<action> &Actions) {
@@ -68,6 +69,10 @@
       State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
   Links.checkTimes();
   Claims.retryUnsettled();
+  State.Companions.refreshEntries();
+  Health.checkTimes();
+  Admission.checkTimes();
+  Jobs.checkEndpoints();
   State.Teams.setEntries(State.Companions.countEntries(), State.now());
 }
 
@@ -125,10 +130,17 @@
          .Load = Record.Load,
          .Outstanding = static_cast<std::uint32_t>(Record.Outstanding.size())});
   }
+  std::vector<std::uint32_t> Placed(State.Classes.getCount());
+  for (const auto &[Name, Index] : State.Companions.getNames()) {
+    for (const task_ref &Task : State.Companions[Index].Outstanding) {
+      ++Placed[Task.Job->Class];
+    }
+  }
   for (class_index Index = 0; Index < State.Classes.getCount(); ++Index) {
     const work_class &Class = State.Classes[Index];
     class_status Counters = Class.Counters;
     Counters.WaitingTasks = State.Queue.getCount(Index);
+    Counters.PlacedTasks = Placed[Index];
     Status.Classes[Class.Spec.Name] = Counters;
   }
   Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Stopping;
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 link_manager::link_manager(entry_state &State, task_ends &Ends,
-                           configuration_keeper &Configurations)
-    : State(State), Ends(Ends), Configurations(Configurations) {}
+                           configuration_keeper &Configurations, health &Health)
+    : State(State), Ends(Ends), Configurations(Configurations), Health(Health) {
+}
 
 void link_manager::open(link_id Link) {
   Pending[static_cast<std::uint64_t>(Link)] = State.now();
@@ -102,7 +103,9 @@
                                     const companion_hello &Hello) {
   const companion_index Known = State.Companions.find(Hello.Companion.Name);
   if (Known == NoCompanion) {
-    return State.Companions.add(Hello.Companion);
+    const companion_index Added = State.Companions.add(Hello.Companion);
+    Health.welcome(Added);
+    return Added;
   }
   companion_record &Record = State.Companions[Known];
   const auto &Replaced = Record.Replaced;
@@ -129,6 +132,7 @@
   }
   Record.Id = Next;
   Record.Outbox.clear();
+  Health.welcome(Companion);
 }
 
 void link_manager::greet(companion_index Companion) {
@@ -170,7 +174,7 @@
   std::visit(
       overloads{
           [&](companion_heartbeat &Heartbeat) {
-            State.Companions.takeLoad(Companion, Heartbeat.Load, State.now());
+            takeLoad(Companion, Heartbeat.Load);
             State.Companions[Companion].Entries = Heartbeat.Entries;
             Configurations.noteRevision(Companion,
                                         Heartbeat.ConfigurationRevision);
@@ -191,7 +195,7 @@
             // Counted as waste until a placement follows from it.
             ++State.Messages.Wasted;
             State.Companions[Companion].ReportUnused = true;
-            State.Companions.takeLoad(Companion, Report.Load, State.now());
+            takeLoad(Companion, Report.Load);
           },
           [&](configuration_push &Push) {
             companion_record &Record = State.Companions[Companion];
@@ -205,6 +209,12 @@
       Message);
 }
 
+void link_manager::takeLoad(companion_index Companion,
+                            const companion_load &Load) {
+  const duration RoundTrip = State.Companions[Companion].RoundTrip;
+  State.Companions.takeLoad(Companion, Load, State.now() - RoundTrip);
+}
+
 void link_manager::close(link_id Link, const std::string &Reason) {
   if (Pending.erase(static_cast<std::uint64_t>(Link)) > 0) {
     return;
