Close a connection at its first invalid frame

Cause: a second stream was refused by nghttp2 itself, and such refusals would have gathered for a peer that doesn't read.

--- a/packages/wire/src/http2_session.cpp
+++ b/packages/wire/src/http2_session.cpp
@@ -126,6 +126,8 @@
     nghttp2_session_callbacks_set_on_frame_recv_callback(NewCallbacks, onFrame);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(NewCallbacks,
                                                               onData);
+    nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(
+        NewCallbacks, onInvalidFrame);
     nghttp2_session_callbacks_set_on_stream_close_callback(NewCallbacks,
                                                            onStreamClosed);
     nghttp2_option *NewOption = nullptr;
@@ -293,6 +295,14 @@
     return self(User).takeFrame(*Frame);
   }
 
+  // A peer of ours sends none, so the connection ends instead of gathering
+  // refusals for the peer.
+  static int onInvalidFrame(nghttp2_session * /*Session*/,
+                            const nghttp2_frame * /*Frame*/, int Error,
+                            void *User) {
+    return self(User).fail(nghttp2_strerror(Error));
+  }
+
   static int onData(nghttp2_session * /*Session*/, std::uint8_t /*Flags*/,
                     std::int32_t StreamId, const std::uint8_t *Bytes,
                     std::size_t Size, void *User) {
