--- a/packages/replay/src/companion_process.cpp
+++ b/packages/replay/src/companion_process.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr duration RowInterval = std::chrono::seconds(5);
+constexpr duration RowInterval = std::chrono::seconds(2);
 constexpr duration RowLease = std::chrono::seconds(30);
 constexpr duration PollInterval = std::chrono::seconds(10);
 
@@ -157,6 +157,8 @@
       });
     });
   };
+  Endpoint->getClock().observe(getClock().next(getWallMicroseconds()),
+                               Endpoint->getWallMicroseconds());
   Endpoint->run(Start.Endpoint,
                 {.Task = Start.Task,
                  .Class = std::move(Start.Class),
--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr duration RowInterval = std::chrono::seconds(5);
+constexpr duration RowInterval = std::chrono::seconds(2);
 constexpr duration RowLease = std::chrono::seconds(30);
 constexpr duration PollInterval = std::chrono::seconds(2);
 constexpr duration ClaimInterval = std::chrono::milliseconds(50);
@@ -91,8 +91,8 @@
   Configurations->change(Change, [this](const config::change_step &Step) {
     if (const auto *Accepted = std::get_if<config::change_accepted>(&Step)) {
       record({.Kind = event_kind::ConfigurationAccepted,
-              .Value = static_cast<std::int64_t>(
-                  Accepted->Configuration.Revision)});
+              .Value =
+                  static_cast<std::int64_t>(Accepted->Configuration.Revision)});
     }
   });
 }
