--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr duration RowInterval = std::chrono::seconds(5);
+constexpr duration RowInterval = std::chrono::seconds(2);
 constexpr duration RowLease = std::chrono::seconds(30);
 constexpr duration PollInterval = std::chrono::seconds(2);
 constexpr duration ClaimInterval = std::chrono::milliseconds(50);
