--- a/tests/stand_ins/common/stand_in.cpp
+++ b/tests/stand_ins/common/stand_in.cpp
@@ -51,7 +51,7 @@
     exitWith(ExitFailure, toString(*Findings));
   }
   Address.Port = std::get<std::uint16_t>(Port);
-  std::cout << "listening " << toString(Address) << std::endl;
+  std::cout << "listening " << crocuswood::toString(Address) << std::endl;
   return Address;
 }
 
