Write the comparisons of ids and addresses out

Cause: clang-tidy 14 reports the body that the compiler makes of a defaulted operator<=> wherever it is used (variable 'cmp', 'use nullptr'). Ruled out: gcc's warning for zero as a null pointer in place of the check, which reports Asio's and Beast's headers. Change: operator<=> by std::tie for ids, hybrid times, peer addresses. The address texts stand once, in model/src/text.cpp, and refuse host names.

--- a/packages/checker/src/key_groups.h
+++ b/packages/checker/src/key_groups.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace crocuswood::checker {
@@ -16,7 +17,11 @@
   std::string Team;
   std::string Key;
 
-  friend auto operator<=>(const team_key &, const team_key &) = default;
+  friend bool operator==(const team_key &, const team_key &) = default;
+  friend std::strong_ordering operator<=>(const team_key &Left,
+                                          const team_key &Right) {
+    return std::tie(Left.Team, Left.Key) <=> std::tie(Right.Team, Right.Key);
+  }
 };
 
 using key_groups = std::map<team_key, std::vector<job_id>>;
--- a/packages/model/include/crocuswood/model/ids.h
+++ b/packages/model/include/crocuswood/model/ids.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace crocuswood {
 
@@ -20,7 +21,12 @@
   std::string Name;
   incarnation Incarnation{};
 
-  friend auto operator<=>(const process_id &, const process_id &) = default;
+  friend bool operator==(const process_id &, const process_id &) = default;
+  friend std::strong_ordering operator<=>(const process_id &Left,
+                                          const process_id &Right) {
+    return std::tie(Left.Name, Left.Incarnation) <=>
+           std::tie(Right.Name, Right.Incarnation);
+  }
 };
 
 /// A job, unique over all entries and all their incarnations.
@@ -28,7 +34,12 @@
   incarnation Entry{};
   std::uint64_t Sequence = 0;
 
-  friend auto operator<=>(const job_id &, const job_id &) = default;
+  friend bool operator==(const job_id &, const job_id &) = default;
+  friend std::strong_ordering operator<=>(const job_id &Left,
+                                          const job_id &Right) {
+    return std::tie(Left.Entry, Left.Sequence) <=>
+           std::tie(Right.Entry, Right.Sequence);
+  }
 };
 
 /// One task of a job. `Index` is its position in the request.
@@ -36,7 +47,11 @@
   job_id Job;
   std::uint32_t Index = 0;
 
-  friend auto operator<=>(const task_id &, const task_id &) = default;
+  friend bool operator==(const task_id &, const task_id &) = default;
+  friend std::strong_ordering operator<=>(const task_id &Left,
+                                          const task_id &Right) {
+    return std::tie(Left.Job, Left.Index) <=> std::tie(Right.Job, Right.Index);
+  }
 };
 
 /// A connection to a peer process. Numbers are never used twice within one
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -27,12 +28,16 @@
   std::string Host; ///< An IP number.
   std::uint16_t Port = 0;
 
-  friend auto operator<=>(const peer_address &, const peer_address &) = default;
+  friend bool operator==(const peer_address &, const peer_address &) = default;
+  friend std::strong_ordering operator<=>(const peer_address &Left,
+                                          const peer_address &Right) {
+    return std::tie(Left.Host, Left.Port) <=> std::tie(Right.Host, Right.Port);
+  }
 };
 
-/// \returns `HOST:PORT`.
+/// \returns `IP:PORT`, with an IPv6 number in brackets.
 std::string toString(const peer_address &Address);
-/// \returns nothing if \p Text is not `HOST:PORT` with a number for the port.
+/// Parses what toString() writes. Names of hosts are refused.
 std::optional<peer_address> parsePeerAddress(std::string_view Text);
 
 /// Whether the endpoint beside a companion takes work.
--- a/packages/model/include/crocuswood/model/text.h
+++ b/packages/model/include/crocuswood/model/text.h
@@ -2,7 +2,6 @@
 /// Texts of values in settings, documents and requests.
 #pragma once
 
-#include <crocuswood/model/peer_message.h>
 #include <crocuswood/model/time.h>
 
 #include <cstdint>
@@ -27,11 +26,6 @@
 /// 1,024).
 std::optional<std::uint64_t> parseByteSize(std::string_view Text);
 
-/// Parses `IP:PORT`; an IPv6 number stands in brackets.
-std::optional<peer_address> parsePeerAddress(std::string_view Text);
-/// \returns what parsePeerAddress() accepts.
-std::string toString(const peer_address &Value);
-
 /// Longest name of a process, a class or a team.
 constexpr std::size_t MaxNameLength = 64;
 
--- a/packages/model/include/crocuswood/model/time.h
+++ b/packages/model/include/crocuswood/model/time.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace crocuswood {
 
@@ -26,7 +27,12 @@
   std::int64_t WallMicroseconds = 0; ///< Since the Unix epoch.
   std::uint32_t Counter = 0;         ///< Orders events of the same microsecond.
 
-  friend auto operator<=>(const hybrid_time &, const hybrid_time &) = default;
+  friend bool operator==(const hybrid_time &, const hybrid_time &) = default;
+  friend std::strong_ordering operator<=>(const hybrid_time &Left,
+                                          const hybrid_time &Right) {
+    return std::tie(Left.WallMicroseconds, Left.Counter) <=>
+           std::tie(Right.WallMicroseconds, Right.Counter);
+  }
 };
 
 } // namespace crocuswood
--- a/packages/model/src/text.cpp
+++ b/packages/model/src/text.cpp
@@ -24,7 +24,7 @@
                                                          {"us", 1}}};
 
 constexpr std::uint64_t BytesPerKilobyte = 1024;
-constexpr std::uint64_t BytesPerMegabyte = 1024 * 1024;
+constexpr std::uint64_t BytesPerMegabyte = 1024 * BytesPerKilobyte;
 
 bool isDigit(char Letter) { return Letter >= '0' && Letter <= '9'; }
 
--- a/packages/replay/src/bound.cpp
+++ b/packages/replay/src/bound.cpp
@@ -129,8 +129,8 @@
     for (std::size_t Index = 0; Index < Companions.size(); ++Index) {
       const auto &[Description, Free] = Companions[Index];
       const auto &Classes = Description->Offer.Classes;
-      if (Free == 0 || std::ranges::find(Classes, Job.Arrival->Class) ==
-                           Classes.end()) {
+      if (Free == 0 ||
+          std::ranges::find(Classes, Job.Arrival->Class) == Classes.end()) {
         continue;
       }
       if (Description->Zone == Job.Zone) {
@@ -152,8 +152,7 @@
     const instant Until = From + Task.RunTime;
     --Companions[Companion].Free;
     Releases.emplace(Until, Companion);
-    Job.AnsweredAt =
-        std::max(Job.AnsweredAt, Until + Path + Latencies.Client);
+    Job.AnsweredAt = std::max(Job.AnsweredAt, Until + Path + Latencies.Client);
     const instant Last = Trace.Arrivals.back().At;
     if (From < Last) {
       Useful += std::min(Until, Last) - From;
--- a/packages/replay/src/clients.cpp
+++ b/packages/replay/src/clients.cpp
@@ -87,10 +87,9 @@
     Entry->deliver([this, Entry, Request, Number]() {
       Entry->submit(Request, makeJob(*Submissions[Number].Arrival, Number),
                     [this, Request](const job_answer &Answer) {
-                      World.Loop.after(Header.Latencies.Client,
-                                       [this, Request, Answer]() {
-                                         take(Request, Answer);
-                                       });
+                      World.Loop.after(
+                          Header.Latencies.Client,
+                          [this, Request, Answer]() { take(Request, Answer); });
                     });
     });
   });
@@ -164,12 +163,10 @@
       continue;
     }
     Submissions[Number].Cancelled = true;
-    World.Loop.after(Header.Latencies.Client,
-                     [Entry = Attempt.Entry, Request = Request]() {
-                       Entry->deliver([Entry, Request]() {
-                         Entry->cancel(Request);
-                       });
-                     });
+    World.Loop.after(
+        Header.Latencies.Client, [Entry = Attempt.Entry, Request = Request]() {
+          Entry->deliver([Entry, Request]() { Entry->cancel(Request); });
+        });
     return;
   }
 }
--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -91,8 +91,8 @@
   Configurations->change(Change, [this](const config::change_step &Step) {
     if (const auto *Accepted = std::get_if<config::change_accepted>(&Step)) {
       record({.Kind = event_kind::ConfigurationAccepted,
-              .Value = static_cast<std::int64_t>(
-                  Accepted->Configuration.Revision)});
+              .Value =
+                  static_cast<std::int64_t>(Accepted->Configuration.Revision)});
     }
   });
 }
--- a/packages/replay/src/fake_endpoint.cpp
+++ b/packages/replay/src/fake_endpoint.cpp
@@ -72,8 +72,7 @@
                        .Task = Call.Task.Index,
                        .Class = Call.Class};
   record(std::move(Event));
-  const bool Concerned =
-      Present.Class.empty() || Present.Class == Call.Class;
+  const bool Concerned = Present.Class.empty() || Present.Class == Call.Class;
   const endpoint_mode Mode = Concerned ? Present.Mode : endpoint_mode::Ok;
   if (Mode == endpoint_mode::Resets) {
     finish(Call.Task, endpoint_lost{.Reason = "connection reset"});
@@ -89,9 +88,8 @@
   const double Factor = Mode == endpoint_mode::Slow ? Present.Factor : 1;
   const duration RunTime(static_cast<std::int64_t>(
       static_cast<double>(readRunTime(Call.Input).count()) * Factor));
-  Runs.push_back({.Task = Call.Task,
-                  .From = getNow(),
-                  .Until = getNow() + RunTime});
+  Runs.push_back(
+      {.Task = Call.Task, .From = getNow(), .Until = getNow() + RunTime});
   after(RunTime, [this, Task = Call.Task, Input = Call.Input]() {
     finish(Task, endpoint_completed{.Output = makeOutput(Input)});
   });
@@ -109,9 +107,8 @@
 
 void fake_endpoint::stop(const peer_address & /*Address*/,
                          const task_id &Task) {
-  deliver([this, Task]() {
-    finish(Task, endpoint_failed{.Reason = "stopped"});
-  });
+  deliver(
+      [this, Task]() { finish(Task, endpoint_failed{.Reason = "stopped"}); });
 }
 
 } // namespace crocuswood::replay
--- a/packages/replay/src/fake_endpoint.h
+++ b/packages/replay/src/fake_endpoint.h
@@ -32,7 +32,8 @@
 /// Announces itself and runs what it is asked to.
 class fake_endpoint : public process, public endpoint_port {
 public:
-  using announce = std::function<void(const companion::endpoint_announcement &)>;
+  using announce =
+      std::function<void(const companion::endpoint_announcement &)>;
 
   fake_endpoint(world &World, const companion_description &Description,
                 announce Announce, std::vector<task_run> &Runs);
--- a/packages/replay/src/fake_store.cpp
+++ b/packages/replay/src/fake_store.cpp
@@ -21,11 +21,10 @@
   const auto Place = Rows.find(Write.Key);
   const bool Exists = Place != Rows.end();
   using kind = write_condition::kind;
-  const bool Holds =
-      Write.Condition.Kind == kind::Always ||
-      (Write.Condition.Kind == kind::IfAbsent && !Exists) ||
-      (Write.Condition.Kind == kind::IfVersion && Exists &&
-       Place->second.Version == Write.Condition.Version);
+  const bool Holds = Write.Condition.Kind == kind::Always ||
+                     (Write.Condition.Kind == kind::IfAbsent && !Exists) ||
+                     (Write.Condition.Kind == kind::IfVersion && Exists &&
+                      Place->second.Version == Write.Condition.Version);
   if (!Holds) {
     return {.Status = store_status::Conflict};
   }
@@ -34,9 +33,8 @@
     return {.Status = store_status::Done};
   }
   const std::string Version = std::to_string(NextVersion++);
-  Rows[Write.Key] = {.Key = Write.Key,
-                     .Value = *Write.Value,
-                     .Version = Version};
+  Rows[Write.Key] = {
+      .Key = Write.Key, .Value = *Write.Value, .Version = Version};
   return {.Status = store_status::Done, .Version = Version};
 }
 
@@ -99,9 +97,8 @@
       std::move(Done));
 }
 
-void store_client::write(
-    std::vector<row_write> Writes,
-    std::function<void(std::vector<write_outcome>)> Done) {
+void store_client::write(std::vector<row_write> Writes,
+                         std::function<void(std::vector<write_outcome>)> Done) {
   const std::size_t Count = Writes.size();
   call<std::vector<write_outcome>>(
       true,
--- a/packages/replay/src/figures.cpp
+++ b/packages/replay/src/figures.cpp
@@ -18,8 +18,8 @@
   }
   const auto Rank = static_cast<std::size_t>(
       std::ceil(Quantile * static_cast<double>(Values.size())));
-  const auto Place =
-      Values.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(Rank, 1) - 1);
+  const auto Place = Values.begin() + static_cast<std::ptrdiff_t>(
+                                          std::max<std::size_t>(Rank, 1) - 1);
   std::nth_element(Values.begin(), Place, Values.end());
   return *Place;
 }
--- a/packages/replay/src/fleet.cpp
+++ b/packages/replay/src/fleet.cpp
@@ -70,8 +70,8 @@
   set(Settings, "loss_limit", Options.LossLimit);
   set(Settings, "claim_limit", Options.ClaimLimit);
   const peer_address Address = makeAddress(Entries.size());
-  Entries.push_back(std::make_unique<entry_process>(
-      World, Description, Options, Address, Network, Store));
+  Entries.push_back(std::make_unique<entry_process>(World, Description, Options,
+                                                    Address, Network, Store));
   Network.listen(Address, *Entries.back());
 }
 
@@ -142,8 +142,7 @@
 
 void fleet::scheduleInputs() {
   for (const arrival &Arrival : Trace.Arrivals) {
-    World.Loop.at(Arrival.At,
-                  [this, &Arrival]() { Clients->submit(Arrival); });
+    World.Loop.at(Arrival.At, [this, &Arrival]() { Clients->submit(Arrival); });
   }
   for (const timed_fault &Fault : Trace.Faults) {
     World.Loop.at(Fault.At, [this, &Fault]() {
@@ -178,11 +177,10 @@
       }
     }
     const auto IsAlive = [](const auto &Each) { return Each->isAlive(); };
-    World.Loop.run(World.Loop.getNow() + StopLimit, [&]() {
-      return std::ranges::none_of(Processes, IsAlive);
-    });
-    Unstopped += static_cast<std::uint64_t>(
-        std::ranges::count_if(Processes, IsAlive));
+    World.Loop.run(World.Loop.getNow() + StopLimit,
+                   [&]() { return std::ranges::none_of(Processes, IsAlive); });
+    Unstopped +=
+        static_cast<std::uint64_t>(std::ranges::count_if(Processes, IsAlive));
   };
   Stop(Entries);
   Stop(Companions);
--- a/packages/replay/src/input_parser.cpp
+++ b/packages/replay/src/input_parser.cpp
@@ -13,9 +13,8 @@
 namespace {
 
 bool isEntry(const trace_header &Header, const std::string &Name) {
-  return std::ranges::any_of(Header.Entries, [&Name](const auto &Each) {
-    return Each.Name == Name;
-  });
+  return std::ranges::any_of(
+      Header.Entries, [&Name](const auto &Each) { return Each.Name == Name; });
 }
 
 bool isCompanion(const trace_header &Header, const std::string &Name) {
--- a/packages/replay/src/load_generator.cpp
+++ b/packages/replay/src/load_generator.cpp
@@ -63,12 +63,11 @@
     Arrival.Key = Key;
   }
   if (Part.DeclaredTo > 0) {
-    Arrival.DeclaredFactor = std::exp(Random.between(
-        std::log(Part.DeclaredFrom), std::log(Part.DeclaredTo)));
+    Arrival.DeclaredFactor = std::exp(
+        Random.between(std::log(Part.DeclaredFrom), std::log(Part.DeclaredTo)));
   }
   const std::uint64_t Tasks =
-      Part.FewestTasks +
-      Random.below(Part.MostTasks - Part.FewestTasks + 1ULL);
+      Part.FewestTasks + Random.below(Part.MostTasks - Part.FewestTasks + 1ULL);
   for (std::uint64_t Task = 0; Task < Tasks; ++Task) {
     Arrival.RunTimes.push_back(drawRunTime(Part.RunTimes, Random));
   }
@@ -89,9 +88,9 @@
                               std::uint32_t Slots) {
   random_stream Random(Load.Seed);
   const double Shares = sumShares(Load.Mix);
-  const double MeanGap =
-      Load.Rate > 0 ? MicrosecondsPerSecond / Load.Rate
-                    : getMeanWork(Load.Mix) / (Load.Load * Slots);
+  const double MeanGap = Load.Rate > 0
+                             ? MicrosecondsPerSecond / Load.Rate
+                             : getMeanWork(Load.Mix) / (Load.Load * Slots);
   std::vector<arrival> Arrivals;
   Arrivals.reserve(Load.Jobs);
   double Offset = 0;
--- a/packages/replay/src/network.cpp
+++ b/packages/replay/src/network.cpp
@@ -50,10 +50,8 @@
 
 void network::dial(process &Dialer, link_id Link, const peer_address &Address) {
   auto Connection = std::make_shared<connection>();
-  Connection->Sides[0] = {.Owner = &Dialer,
-                          .Life = Dialer.getLife(),
-                          .Link = Link,
-                          .Open = true};
+  Connection->Sides[0] = {
+      .Owner = &Dialer, .Life = Dialer.getLife(), .Link = Link, .Open = true};
   Connections[{&Dialer, Link}] = {Connection, 0};
   All[NextNumber++] = Connection;
   const auto Listener = Listeners.find(Address);
@@ -61,8 +59,8 @@
   if (Target != nullptr && isBlocked(Dialer, *Target)) {
     return; // Nothing answers; the dialler gives up by itself.
   }
-  const duration There = Target == nullptr ? Latencies.BetweenZones
-                                           : getDelay(Dialer, *Target);
+  const duration There =
+      Target == nullptr ? Latencies.BetweenZones : getDelay(Dialer, *Target);
   World.Loop.after(There, [=, this]() { accept(Connection, Target, Address); });
 }
 
--- a/packages/replay/src/outcomes.cpp
+++ b/packages/replay/src/outcomes.cpp
@@ -78,9 +78,8 @@
       return Result;
     }
     Result.Seen = write(*Seen);
-    Result.Passed =
-        (!Expectation.AtLeast || *Seen >= *Expectation.AtLeast) &&
-        (!Expectation.AtMost || *Seen <= *Expectation.AtMost);
+    Result.Passed = (!Expectation.AtLeast || *Seen >= *Expectation.AtLeast) &&
+                    (!Expectation.AtMost || *Seen <= *Expectation.AtMost);
     return Result;
   }
 
@@ -225,8 +224,8 @@
     Results.push_back(Judge.judge(Expectation));
   }
   for (const expectation &Expectation : makeGeneralExpectations()) {
-    const bool IsStated = std::ranges::any_of(
-        Stated, [&Expectation](const expectation &Each) {
+    const bool IsStated =
+        std::ranges::any_of(Stated, [&Expectation](const expectation &Each) {
           return Each.Metric == Expectation.Metric && Each.Class.empty();
         });
     if (!IsStated) {
--- a/packages/replay/src/process.cpp
+++ b/packages/replay/src/process.cpp
@@ -14,12 +14,11 @@
 process::process(world &World, std::string Name, std::string Zone)
     : World(World), Id{.Name = std::move(Name)}, Zone(std::move(Zone)),
       Skew(static_cast<std::int64_t>(
-          World.Random.unit() *
-          static_cast<double>(World.ClockSkew.count()))) {}
+          World.Random.unit() * static_cast<double>(World.ClockSkew.count()))) {
+}
 
 std::int64_t process::getWallMicroseconds() const {
-  return EpochMicroseconds + Skew.count() +
-         getNow().time_since_epoch().count();
+  return EpochMicroseconds + Skew.count() + getNow().time_since_epoch().count();
 }
 
 void process::start() {
--- a/packages/replay/src/random_stream.h
+++ b/packages/replay/src/random_stream.h
@@ -29,7 +29,9 @@
     constexpr double Scale = 1.0 / 9007199254740992.0; // 2 to the power of 53.
     return static_cast<double>(next() >> 11) * Scale;
   }
-  double between(double Low, double High) { return Low + (High - Low) * unit(); }
+  double between(double Low, double High) {
+    return Low + (High - Low) * unit();
+  }
   /// \returns an exponentially distributed number.
   double exponential(double Mean) { return -Mean * std::log(1 - unit()); }
 
--- a/packages/replay/src/run.cpp
+++ b/packages/replay/src/run.cpp
@@ -24,8 +24,7 @@
       Figures.addFailed(Class);
       continue;
     }
-    if (const auto *Failure =
-            std::get_if<job_failure>(&Each.Answer->Outcome)) {
+    if (const auto *Failure = std::get_if<job_failure>(&Each.Answer->Outcome)) {
       if (Failure->Certainty == run_certainty::NotRun) {
         Figures.addRefused(Class);
       } else {
@@ -89,15 +88,14 @@
     Result.WastedPerTask = static_cast<double>(Fleet.countWasted()) /
                            static_cast<double>(Fleet.getRuns().size());
   }
-  Result.Outcomes =
-      judgeOutcomes({.Trace = Content,
-                     .Submissions = Fleet.getSubmissions(),
-                     .Timeline = Result.Timeline,
-                     .Verdict = Result.Verdict,
-                     .WastedPerTask = Result.WastedPerTask,
-                     .Goodput = Result.Goodput,
-                     .LeastRevision = Fleet.getLeastRevision(),
-                     .Unstopped = Fleet.countUnstopped()});
+  Result.Outcomes = judgeOutcomes({.Trace = Content,
+                                   .Submissions = Fleet.getSubmissions(),
+                                   .Timeline = Result.Timeline,
+                                   .Verdict = Result.Verdict,
+                                   .WastedPerTask = Result.WastedPerTask,
+                                   .Goodput = Result.Goodput,
+                                   .LeastRevision = Fleet.getLeastRevision(),
+                                   .Unstopped = Fleet.countUnstopped()});
   if (!Options.KeepTimeline) {
     Result.Timeline.clear();
   }
--- a/packages/replay/src/trace_content.h
+++ b/packages/replay/src/trace_content.h
@@ -45,7 +45,7 @@
   std::vector<companion_description> Companions;
   latencies Latencies;
   std::map<std::string, duration> Settings; ///< By name, in snake case.
-  duration ClockSkew{}; ///< Wall clocks differ by up to this much.
+  duration ClockSkew{};            ///< Wall clocks differ by up to this much.
   std::uint32_t Resubmissions = 0; ///< After a lost connection, by each client.
   configuration Configuration;
   bool StoreHolds = true; ///< The store has the configuration at the start.
@@ -57,7 +57,7 @@
   std::string Class;
   std::string Team;
   std::string Key;
-  std::string Entry; ///< Empty: the balancer chooses.
+  std::string Entry;              ///< Empty: the balancer chooses.
   std::vector<duration> RunTimes; ///< True ones, one for each task.
   double DeclaredFactor = 0; ///< Declared over true run time; 0: not declared.
   std::optional<duration> Deadline;
--- a/programs/crocuswood/submit_command.cpp
+++ b/programs/crocuswood/submit_command.cpp
@@ -69,7 +69,7 @@
     Job["tasks"].push_back({{"input", std::move(Input)}});
   }
   if (!Values.has("class") || !Values.has("team") || Job["tasks"].empty()) {
-    return "State --class, --team and --task, or --file.";
+    return std::string("State --class, --team and --task, or --file.");
   }
   if (Values.has("deadline")) {
     Job["deadline"] = Values.getText("deadline");
