--- a/packages/checker/src/end_judge.cpp
+++ b/packages/checker/src/end_judge.cpp
@@ -18,6 +18,11 @@
   if (!Ends.empty() || Begins.empty() || !Limits.ExpectEnds) {
     return;
   }
+  // A resubmission under a held key ends with the stored answer.
+  if (Job.Events.has(event_kind::ClaimHeld) &&
+      Job.Events.hasAny({event_kind::AnswerSent, event_kind::AnswerDropped})) {
+    return;
+  }
   // A killed entry takes its jobs with it; their callers see that.
   if (History.isStopped(Begins.back()->Process)) {
     Report.add("job " + toString(Id) +
--- a/programs/crocuswood/program.cpp
+++ b/programs/crocuswood/program.cpp
@@ -4,6 +4,7 @@
 #include "check_settings_command.h"
 #include "class_command.h"
 #include "explain_command.h"
+#include "replay_command.h"
 #include "status_command.h"
 #include "submit_command.h"
 #include "team_command.h"
@@ -21,6 +22,7 @@
   Commands.push_back(std::make_unique<timeline_command>());
   Commands.push_back(std::make_unique<explain_command>());
   Commands.push_back(std::make_unique<submit_command>());
+  Commands.push_back(std::make_unique<replay_command>());
   Commands.push_back(std::make_unique<check_command>());
   Commands.push_back(std::make_unique<check_settings_command>());
 }
