--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -9,6 +9,7 @@
 constexpr duration RowInterval = std::chrono::seconds(2);
 constexpr duration RowLease = std::chrono::seconds(30);
 constexpr duration PollInterval = std::chrono::seconds(2);
+constexpr std::uint16_t OperatorsPort = 7001;
 constexpr duration ClaimInterval = std::chrono::milliseconds(50);
 
 } // namespace
@@ -23,6 +24,7 @@
 void entry_process::begin() {
   Options.Self = getId();
   Options.Zone = getZone();
+  Options.Operators = {.Host = Address.Host, .Port = OperatorsPort};
   Options.Seed = World.Random.next();
   Wake.reset();
   Core = std::make_unique<entry::core>(Options);
@@ -35,7 +37,8 @@
       *Table,
       platform::entry_row{.Name = getName(),
                           .Incarnation = getId().Incarnation,
-                          .Links = Address},
+                          .Links = Address,
+                          .Operators = Options.Operators},
       RowLease, [this](const std::vector<platform::entry_row> &Rows) {
         entry::entries_read Event;
         for (const platform::entry_row &Row : Rows) {
