Take back starts that never reached the endpoint; end jobs answered from a stored outcome

Cause, found by replay: (1) a task whose endpoint refused the connection is given back as unreachable and starts elsewhere, and the checker called that two starts; (2) an answer from the outcome stored under a key was recorded without an end; (3) a task given back was never offered to the same companion again, so with one companion a job whose placement was lost on a silent link waited for ever. Change: the checker leaves out a start that its own companion took back as unreachable, while the endpoint's own account of a run still counts; the entry records the end of such an answer, and offers a task again after a second.

--- a/packages/checker/src/event_list.cpp
+++ b/packages/checker/src/event_list.cpp
@@ -29,6 +29,24 @@
   return Position == Events.end() ? nullptr : *Position;
 }
 
+std::vector<const timeline_event *> event_list::getStarts() const {
+  static const std::string Unreachable =
+      toString(not_started_reason::Unreachable);
+  std::vector<const timeline_event *> Starts;
+  for (const timeline_event *Event : Events) {
+    if (Event->Kind == event_kind::TaskStarted) {
+      Starts.push_back(Event);
+      continue;
+    }
+    if (Event->Kind == event_kind::TaskNotStarted &&
+        Event->Code == Unreachable && !Starts.empty() &&
+        Starts.back()->Process == Event->Process) {
+      Starts.pop_back();
+    }
+  }
+  return Starts;
+}
+
 std::string toText(const timeline_event &Event) {
   const std::int64_t Wall = Event.Time.WallMicroseconds;
   const std::string Fraction = std::to_string(Wall % MicrosecondsPerSecond);
--- a/packages/checker/src/event_list.h
+++ b/packages/checker/src/event_list.h
@@ -25,6 +25,10 @@
     return !getAll(Kinds).empty();
   }
   const std::vector<const timeline_event *> &get() const { return Events; }
+  /// \returns the starts of a task, but for those that its companion took back
+  /// afterwards because it had not reached the endpoint. What the endpoint
+  /// itself tells is judged besides.
+  std::vector<const timeline_event *> getStarts() const;
 
 private:
   std::vector<const timeline_event *> Events;
--- a/packages/checker/src/history.cpp
+++ b/packages/checker/src/history.cpp
@@ -6,11 +6,13 @@
 
 const timeline_event *job_history::findStart() const {
   for (const auto &Entry : Tasks) {
-    const auto Starts =
-        Entry.second.getAll({event_kind::TaskStarted, event_kind::EndpointRan});
+    const auto Starts = Entry.second.getStarts();
     if (!Starts.empty()) {
       return Starts.front();
     }
+    if (const auto *Run = Entry.second.find(event_kind::EndpointRan)) {
+      return Run;
+    }
   }
   return nullptr;
 }
--- a/packages/checker/src/starts_judge.cpp
+++ b/packages/checker/src/starts_judge.cpp
@@ -8,7 +8,7 @@
 
 void judgeTask(const std::string &Name, const event_list &Events,
                report &Report) {
-  const auto Starts = Events.getAll({event_kind::TaskStarted});
+  const auto Starts = Events.getStarts();
   const auto Runs = Events.getAll({event_kind::EndpointRan});
   if (Starts.size() > 1) {
     Report.add(Name + " started more than once: " + toText(*Starts[0]) + ", " +
--- a/packages/checker/src/stop_judge.cpp
+++ b/packages/checker/src/stop_judge.cpp
@@ -48,6 +48,10 @@
   }
 
   bool hasEnd(const timeline_event &Started) const {
+    const auto Starts = tasksOf(Started).getStarts();
+    if (std::find(Starts.begin(), Starts.end(), &Started) == Starts.end()) {
+      return true; // It had not reached the endpoint and was given back.
+    }
     const auto Ends = tasksOf(Started).getAll(
         {event_kind::TaskEnded, event_kind::TaskFailed, event_kind::TaskLost});
     return std::any_of(
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -4,6 +4,13 @@
 
 namespace crocuswood::entry {
 
+namespace {
+
+// A companion that gave a task back is not offered it again before.
+constexpr duration GiveBackPause = std::chrono::seconds(1);
+
+} // namespace
+
 dispatcher::dispatcher(entry_state &State, health &Health)
     : State(State), Health(Health),
       Policy(makePolicy(State.Options.Policy, State.Options.Seed)) {}
@@ -121,12 +128,14 @@
     if (!State.Companions.hasNeeds(Candidate, Job.Class)) {
       return false;
     }
-    const give_back Refusal{.Task = Task.Index,
-                            .Companion = Candidate,
-                            .Incarnation =
-                                State.Companions[Candidate].Id.Incarnation};
-    return std::find(Job.GivenBack.begin(), Job.GivenBack.end(), Refusal) ==
-           Job.GivenBack.end();
+    // After the pause the companion has the acknowledgement of what it gave
+    // back, and takes the task again. It may be the only one that can run it.
+    const auto Refuses = [&](const give_back &Past) {
+      return Past.Task == Task.Index && Past.Companion == Candidate &&
+             Past.Incarnation == State.Companions[Candidate].Id.Incarnation &&
+             State.now() - Past.At < GiveBackPause;
+    };
+    return std::none_of(Job.GivenBack.begin(), Job.GivenBack.end(), Refuses);
   };
   const std::function<bool(companion_index)> Filter = std::ref(MayTake);
   return Policy->choose({.Class = Job.Class,
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -50,6 +50,7 @@
   std::uint32_t Task = 0;
   companion_index Companion = NoCompanion;
   incarnation Incarnation{};
+  instant At;
 
   friend auto operator<=>(const give_back &, const give_back &) = default;
 };
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -245,6 +245,7 @@
   }
   dropWaiting(Job);
   if (Event.HolderOutcome) {
+    recordStoredEnd(Job, *Event.HolderOutcome);
     sendAnswer(Job, *Event.HolderOutcome);
     progress(Job);
     return;
@@ -254,6 +255,20 @@
              .Reason = "An earlier attempt with this key may have run."});
 }
 
+void job_manager::recordStoredEnd(const job &Job, const job_outcome &Outcome) {
+  timeline_event Event{.Kind = event_kind::JobCompleted,
+                       .Job = Job.Id,
+                       .Class = State.Classes[Job.Class].Spec.Name,
+                       .Reason = "The outcome was stored under the key.",
+                       .Digest = digest(Outcome)};
+  if (const auto *Failure = std::get_if<job_failure>(&Outcome)) {
+    Event.Kind = event_kind::JobFailed;
+    Event.Code = toString(Failure->Code);
+    Event.Certainty = toString(Failure->Certainty);
+  }
+  State.Sink.record(std::move(Event));
+}
+
 void job_manager::refuseClaim(job &Job, const std::string &Reason) {
   fail(Job, notRun(failure_code::StoreUnavailable, Reason, NotReadyRetry));
 }
