--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -98,7 +98,12 @@
 
 void task_desk::acknowledge(entry_peer &Peer, const acknowledge_ends &Message) {
   for (const task_id &Task : Message.Tasks) {
-    Peer.Ends.remove(Task);
+    const bool WasKept = Peer.Ends.remove(Task);
+    if (WasKept && Peer.History.find(Task) == task_memory::GivenBack) {
+      // The entry knows that the task came back, and messages of earlier links
+      // are not taken, so a placement after this one is meant as a new one.
+      Peer.History.remember(Task, task_memory::New);
+    }
   }
 }
 
--- a/packages/replay/include/crocuswood/replay.h
+++ b/packages/replay/include/crocuswood/replay.h
@@ -8,6 +8,7 @@
 #include <crocuswood/model.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -96,6 +97,12 @@
 /// seeds give equal traces.
 std::string generate(std::uint64_t Seed);
 
+/// Takes lines out of \p Text as long as \p Fails holds for what is left.
+/// Lines that end faults stay. \returns a trace from which no other line can be
+/// taken out.
+std::string shrink(std::string Text,
+                   const std::function<bool(const std::string &)> &Fails);
+
 /// Runs \p Trace. The same trace and options give the same result, byte for
 /// byte.
 run_result run(const trace &Trace, const run_options &Options);
--- a/packages/replay/src/network.cpp
+++ b/packages/replay/src/network.cpp
@@ -198,7 +198,8 @@
 void network::apply(const link_fault &Fault) {
   if (Fault.Mode == link_mode::Heal) {
     std::erase_if(Lasting, [&Fault](const link_fault &Each) {
-      return Each.First == Fault.First && Each.Second == Fault.Second;
+      const bool All = Fault.First.empty() && Fault.Second.empty();
+      return All || (Each.First == Fault.First && Each.Second == Fault.Second);
     });
     return;
   }
--- a/tests/companion/task_test.cpp
+++ b/tests/companion/task_test.cpp
@@ -99,6 +99,21 @@
   CHECK_EQUAL(0U, Driver.countStarts());
 }
 
+TEST(CompanionTasks, GivenBackAndAcknowledgedMayBePlacedAgain) {
+  const link_id Link = prepare(1);
+  Driver.announce(1, endpoint_state::Leaving);
+  Driver.receive(Link, makePlacement(makeTask(1)));
+  Driver.announce(1);
+  Driver.receive(Link, makePlacement(makeTask(1)));
+  CHECK_EQUAL(0U, Driver.countStarts());
+  Driver.receive(Link, acknowledge_ends{{makeTask(1)}});
+  Driver.receive(Link, makePlacement(makeTask(1)));
+  CHECK_EQUAL(1U, Driver.countStarts());
+  Driver.receive(Link, acknowledge_ends{{makeTask(1)}});
+  Driver.receive(Link, makePlacement(makeTask(1)));
+  CHECK_EQUAL(1U, Driver.countStarts());
+}
+
 TEST(CompanionTasks,
      WithdrawnWhileRunningIsStoppedOnceAndEndsAsTheEndpointSays) {
   const link_id Link = prepare(1);
