--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -53,6 +53,7 @@
   handle(entry::entries_read{{Address}});
   refreshRows();
   pollConfiguration();
+  advanceClaims();
 }
 
 void entry_process::end() {
@@ -73,9 +74,7 @@
 
 void entry_process::advanceClaims() {
   Claims->advance(getNow());
-  if (Claims->getPending() > 0) {
-    after(ClaimInterval, [this]() { advanceClaims(); });
-  }
+  after(ClaimInterval, [this]() { advanceClaims(); });
 }
 
 void entry_process::submit(request_id Request, job_request Job,
@@ -159,10 +158,10 @@
     Network.close(*this, Close->Link);
   } else if (auto *Ask = std::get_if<entry::ask_claim>(&Action)) {
     Claims->ask(std::move(*Ask), getNow());
-    after({}, [this]() { advanceClaims(); });
+    after({}, [this]() { Claims->advance(getNow()); });
   } else if (auto *Settle = std::get_if<entry::settle_claim>(&Action)) {
     Claims->settle(std::move(*Settle), getNow());
-    after({}, [this]() { advanceClaims(); });
+    after({}, [this]() { Claims->advance(getNow()); });
   } else if (const auto *Timer = std::get_if<entry::wake_at>(&Action)) {
     Wake = Timer->At;
     after(Timer->At - getNow(), [this, At = Timer->At]() {
