--- a/packages/replay/src/entry_process.cpp
+++ b/packages/replay/src/entry_process.cpp
@@ -9,6 +9,7 @@
 constexpr duration RowInterval = std::chrono::seconds(2);
 constexpr duration RowLease = std::chrono::seconds(30);
 constexpr duration PollInterval = std::chrono::seconds(2);
+constexpr std::uint16_t OperatorsPort = 7001;
 constexpr duration ClaimInterval = std::chrono::milliseconds(50);
 
 } // namespace
@@ -23,6 +24,7 @@
 void entry_process::begin() {
   Options.Self = getId();
   Options.Zone = getZone();
+  Options.Operators = {.Host = Address.Host, .Port = OperatorsPort};
   Options.Seed = World.Random.next();
   Wake.reset();
   Core = std::make_unique<entry::core>(Options);
@@ -35,7 +37,8 @@
       *Table,
       platform::entry_row{.Name = getName(),
                           .Incarnation = getId().Incarnation,
-                          .Links = Address},
+                          .Links = Address,
+                          .Operators = Options.Operators},
       RowLease, [this](const std::vector<platform::entry_row> &Rows) {
         entry::entries_read Event;
         for (const platform::entry_row &Row : Rows) {
@@ -50,6 +53,7 @@
   handle(entry::entries_read{{Address}});
   refreshRows();
   pollConfiguration();
+  advanceClaims();
 }
 
 void entry_process::end() {
@@ -70,9 +74,7 @@
 
 void entry_process::advanceClaims() {
   Claims->advance(getNow());
-  if (Claims->getPending() > 0) {
-    after(ClaimInterval, [this]() { advanceClaims(); });
-  }
+  after(ClaimInterval, [this]() { advanceClaims(); });
 }
 
 void entry_process::submit(request_id Request, job_request Job,
@@ -156,10 +158,10 @@
     Network.close(*this, Close->Link);
   } else if (auto *Ask = std::get_if<entry::ask_claim>(&Action)) {
     Claims->ask(std::move(*Ask), getNow());
-    after({}, [this]() { advanceClaims(); });
+    after({}, [this]() { Claims->advance(getNow()); });
   } else if (auto *Settle = std::get_if<entry::settle_claim>(&Action)) {
     Claims->settle(std::move(*Settle), getNow());
-    after({}, [this]() { advanceClaims(); });
+    after({}, [this]() { Claims->advance(getNow()); });
   } else if (const auto *Timer = std::get_if<entry::wake_at>(&Action)) {
     Wake = Timer->At;
     after(Timer->At - getNow(), [this, At = Timer->At]() {
