Decode whole real numbers

Cause: the MessagePack library writes a real number without a fraction as an integer, and the reader took only the real form. Every configuration with a quota of 0 closed the links of all companions. Change: the reader takes each form of a number for a real one. Seen: the processes never became ready; RealNumbersOfEveryFormSurvive failed before, passes now; test_wire 40 of 40.

--- a/packages/wire/src/envelope_reader.h
+++ b/packages/wire/src/envelope_reader.h
@@ -41,6 +41,17 @@
   }
 
   bool read(double &Value) {
+    // The library writes whole real numbers as integers.
+    switch (peekKind()) {
+    case token_kind::Unsigned:
+      Value = static_cast<double>(take().Unsigned);
+      return true;
+    case token_kind::Signed:
+      Value = static_cast<double>(take().Signed);
+      return true;
+    default:
+      break;
+    }
     if (!expect(token_kind::Real)) {
       return false;
     }
--- a/packages/wire/src/link_connection.cpp
+++ b/packages/wire/src/link_connection.cpp
@@ -59,7 +59,7 @@
   const checked<std::uint64_t> Appended = appendFrames(
       Session.getUnsent(), Envelope, Surroundings->Limits.MaxEnvelopeBytes);
   if (const auto *Faults = std::get_if<findings>(&Appended)) {
-    postFail(toString(*Faults));
+    postFail(toString(Faults->front()));
     return;
   }
   Surroundings->Traffic.EnvelopesSent += std::get<std::uint64_t>(Appended);
@@ -152,7 +152,7 @@
   while (Observer != nullptr && !Draining) {
     const auto Next = Splitter.next();
     if (const auto *Faults = std::get_if<findings>(&Next)) {
-      fail(toString(*Faults));
+      fail(toString(Faults->front()));
       return false;
     }
     const auto &Bytes = std::get<std::optional<std::string_view>>(Next);
@@ -161,7 +161,7 @@
     }
     checked<peer_envelope> Envelope = decode(*Bytes);
     if (const auto *Faults = std::get_if<findings>(&Envelope)) {
-      fail(toString(*Faults));
+      fail(toString(Faults->front()));
       return false;
     }
     ++Surroundings->Traffic.EnvelopesReceived;
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -44,6 +44,22 @@
   CHECK_TRUE(std::get<peer_envelope>(Decoded) == peer_envelope{});
 }
 
+TEST(Codec, RealNumbersOfEveryFormSurvive) {
+  // The library writes whole ones as integers.
+  for (const double Number :
+       {0.0, 1.0, -3.0, 0.5, 1e300, 18446744073709551615.0, 9007199254740993.0,
+        -1e18}) {
+    const peer_envelope Envelope{
+        .Messages = {configuration_push{
+            .Configuration = {
+                .Teams = {
+                    {"t", {.Name = "t", .TaskStartsPerSecond = Number}}}}}}};
+    const checked<peer_envelope> Decoded = wire::decode(wire::encode(Envelope));
+    CHECK_TRUE(isEnvelope(Decoded));
+    CHECK_TRUE(std::get<peer_envelope>(Decoded) == Envelope);
+  }
+}
+
 TEST(Codec, EveryTruncationIsAFinding) {
   const std::string Bytes = wire::encode(makeEnvelopeOfEverything());
   for (std::size_t Size = 0; Size < Bytes.size(); ++Size) {
