Estimate the other entries' tasks and queue a few at each companion

Cause: with three entries the core lost to least outstanding. What was heard of a companion is about 130 ms old at 80% load, so the slots that it calls free are taken by the other entries; and tasks held at the entry leave slots idle that it does not know of. Change: a companion's tasks are the entry's own, exactly, and the others' as last heard, which gives way to their mean over all companions with a sixth of the mean run time; with eight tasks waiting a companion may queue four. Ends are counted after they have been taken out.

--- a/packages/entry/src/capacity_index.h
+++ b/packages/entry/src/capacity_index.h
@@ -16,9 +16,10 @@
 /// and within a pool by their room: free slots less queued tasks.
 class capacity_index {
 public:
-  /// Room is kept within these bounds.
-  static constexpr std::int32_t MinRoom = -16;
-  static constexpr std::int32_t MaxRoom = 64;
+  /// Room is counted in parts of a slot, within these bounds.
+  static constexpr std::int32_t RoomPerSlot = 4;
+  static constexpr std::int32_t MinRoom = -32;
+  static constexpr std::int32_t MaxRoom = 128;
 
   /// Adds \p Companion, or changes what is known of it. \p Classes is sorted.
   void set(companion_index Companion, const std::vector<class_index> &Classes,
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -32,6 +32,10 @@
   std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
   std::deque<instant> Unseen;        ///< Times of placements that the last load
                                      ///< heard can't have counted.
+  double Others = 0;        ///< Tasks of other entries in the last load.
+  instant OthersAt;         ///< When that load was heard.
+  double CountedOthers = 0; ///< Part in the sums over all companions.
+  std::uint32_t CountedSlots = 0;
   duration RoundTrip{}; ///< From a placement to its effect on a load.
   std::uint64_t UsedMemoryBytes = 0; ///< By the outstanding tasks.
   std::uint32_t UsedAccelerators = 0;
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -1,10 +1,22 @@
 #include "companion_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace crocuswood::entry {
 
+namespace {
+
+// Share of a mean run time after which what was heard of the other entries'
+// tasks has lost most of its worth.
+constexpr double OthersMemory = 1.0 / 6;
+constexpr double DefaultRunTime = 100'000;
+constexpr double RunTimeShare = 1.0 / 256;
+constexpr std::uint32_t RefreshedAtOnce = 4;
+
+} // namespace
+
 companion_table::companion_table(const class_table &Classes, std::string Zone)
     : Classes(Classes), Zone(std::move(Zone)) {}
 
@@ -39,6 +51,8 @@
     Links.erase(static_cast<std::uint64_t>(*Record.Link));
   }
   setRunnable(Record, {});
+  Record.Link.reset();
+  countOthers(Record);
   Capacity.remove(Index);
   Names.erase(Record.Id.Name);
   std::erase(DirtyList, Index);
@@ -46,14 +60,15 @@
   Free.push_back(Index);
 }
 
-void companion_table::attachLink(companion_index Index, link_id Link) {
+void companion_table::attachLink(companion_index Index, link_id Link,
+                                 instant Now) {
   companion_record &Record = Records[Index];
   if (Record.Link) {
     Links.erase(static_cast<std::uint64_t>(*Record.Link));
   }
   Record.Link = Link;
   Links[static_cast<std::uint64_t>(Link)] = Index;
-  refreshClasses(Index);
+  refreshClasses(Index, Now);
 }
 
 void companion_table::detachLink(companion_index Index, instant Now) {
@@ -64,7 +79,7 @@
   Links.erase(static_cast<std::uint64_t>(*Record.Link));
   Record.Link.reset();
   Record.LinkLostAt = Now;
-  refreshClasses(Index);
+  refreshClasses(Index, Now);
 }
 
 void companion_table::assign(const task_ref &Task, companion_index Index,
@@ -80,10 +95,10 @@
   Record.Unseen.push_back(Now);
   Record.UsedMemoryBytes += Spec.MemoryBytes;
   Record.UsedAccelerators += Spec.Accelerators;
-  refreshRoom(Index);
+  refreshRoom(Index, Now);
 }
 
-void companion_table::release(const task_ref &Task) {
+void companion_table::release(const task_ref &Task, instant Now) {
   task &Released = Task.get();
   const companion_index Index = Released.Companion;
   companion_record &Record = Records[Index];
@@ -96,11 +111,12 @@
   Record.UsedAccelerators -=
       std::min(Record.UsedAccelerators, Spec.Accelerators);
   Released.Companion = NoCompanion;
-  refreshRoom(Index);
+  refreshRoom(Index, Now);
 }
 
 void companion_table::takeLoad(companion_index Index,
-                               const companion_load &Load, instant SeenUntil) {
+                               const companion_load &Load, instant SeenUntil,
+                               instant Now) {
   companion_record &Record = Records[Index];
   if (Load.Sequence < Record.Load.Sequence) {
     return;
@@ -110,7 +126,38 @@
   while (!Record.Unseen.empty() && Record.Unseen.front() <= SeenUntil) {
     Record.Unseen.pop_front();
   }
-  refreshRoom(Index);
+  const double Own = static_cast<double>(Record.Outstanding.size()) -
+                     static_cast<double>(Record.Unseen.size());
+  const double Total = Load.Running + Load.Queued;
+  Record.Others = std::max(0.0, Total - std::max(0.0, Own));
+  Record.OthersAt = Now;
+  countOthers(Record);
+  refreshRoom(Index, Now);
+}
+
+void companion_table::countOthers(companion_record &Record) {
+  const bool Serves = mayServe(Record);
+  SumOthers -= Record.CountedOthers;
+  SumSlots -= Record.CountedSlots;
+  Record.CountedOthers = Serves ? Record.Others : 0;
+  Record.CountedSlots = Serves ? Record.Endpoint.Slots : 0;
+  SumOthers += Record.CountedOthers;
+  SumSlots += Record.CountedSlots;
+}
+
+void companion_table::noteRunTime(duration RunTime) {
+  const auto Microseconds = static_cast<double>(RunTime.count());
+  const bool IsFirst = MeanRunTime <= 0;
+  MeanRunTime += (Microseconds - MeanRunTime) * (IsFirst ? 1.0 : RunTimeShare);
+}
+
+void companion_table::refreshSome(instant Now) {
+  const auto Count = static_cast<companion_index>(Records.size());
+  for (std::uint32_t Each = 0; Each < std::min(Count, RefreshedAtOnce);
+       ++Each) {
+    NextRefresh = NextRefresh + 1 < Count ? NextRefresh + 1 : 0;
+    refreshRoom(NextRefresh, Now);
+  }
 }
 
 bool companion_table::mayServe(const companion_record &Record) const {
@@ -137,23 +184,29 @@
   return Runnable;
 }
 
-std::uint32_t companion_table::estimateTasks(companion_index Index) const {
-  const companion_record &Record = Records[Index];
-  const auto Own = static_cast<std::uint32_t>(Record.Outstanding.size());
-  const auto Unseen = static_cast<std::uint32_t>(Record.Unseen.size());
-  return std::max(Own, Record.Load.Running + Record.Load.Queued + Unseen);
+double companion_table::estimateTasks(const companion_record &Record,
+                                      instant Now) const {
+  const auto Own = static_cast<double>(Record.Outstanding.size());
+  const double Mean =
+      SumSlots > 0 ? SumOthers / SumSlots * Record.Endpoint.Slots : 0;
+  const double RunTime = MeanRunTime > 0 ? MeanRunTime : DefaultRunTime;
+  const auto Age = static_cast<double>((Now - Record.OthersAt).count());
+  const double Worth = std::exp(-Age / (RunTime * OthersMemory));
+  return Own + Mean + (Record.Others - Mean) * Worth;
 }
 
-std::int32_t companion_table::roomOf(const companion_record &Record) const {
-  const auto Index = static_cast<companion_index>(&Record - Records.data());
-  const auto Slots = static_cast<std::int32_t>(Record.Endpoint.Slots);
-  const std::int32_t Room =
-      Slots - static_cast<std::int32_t>(estimateTasks(Index));
+std::int32_t companion_table::roomOf(const companion_record &Record,
+                                     instant Now) const {
+  const double Slots = Record.Endpoint.Slots - estimateTasks(Record, Now);
+  const auto Room = static_cast<std::int32_t>(
+      std::floor(Slots * capacity_index::RoomPerSlot));
   if (!Record.Allowed) {
     return Room;
   }
-  const auto Allowed = static_cast<std::int32_t>(*Record.Allowed) -
-                       static_cast<std::int32_t>(Record.Outstanding.size());
+  const std::int32_t Allowed =
+      (static_cast<std::int32_t>(*Record.Allowed) -
+       static_cast<std::int32_t>(Record.Outstanding.size())) *
+      capacity_index::RoomPerSlot;
   if (Record.SetAside && Allowed > 0) {
     // A probe must go out although others have more room.
     return capacity_index::MaxRoom;
@@ -162,8 +215,9 @@
   return Allowed > 0 ? std::min(Room, Allowed) : capacity_index::MinRoom;
 }
 
-void companion_table::refreshClasses(companion_index Index) {
+void companion_table::refreshClasses(companion_index Index, instant Now) {
   companion_record &Record = Records[Index];
+  countOthers(Record);
   if (!mayServe(Record)) {
     setRunnable(Record, {});
     Capacity.remove(Index);
@@ -174,7 +228,7 @@
   std::set_difference(Record.Runnable.begin(), Record.Runnable.end(),
                       Record.Barred.begin(), Record.Barred.end(),
                       std::back_inserter(Allowed));
-  Capacity.set(Index, Allowed, Record.Zone == Zone, roomOf(Record));
+  Capacity.set(Index, Allowed, Record.Zone == Zone, roomOf(Record, Now));
 }
 
 void companion_table::setRunnable(companion_record &Record,
@@ -193,14 +247,14 @@
   return Class < Runners.size() ? Runners[Class] : 0;
 }
 
-void companion_table::refreshAllClasses() {
+void companion_table::refreshAllClasses(instant Now) {
   for (const auto &[Name, Index] : Names) {
-    refreshClasses(Index);
+    refreshClasses(Index, Now);
   }
 }
 
-void companion_table::refreshRoom(companion_index Index) {
-  Capacity.setRoom(Index, roomOf(Records[Index]));
+void companion_table::refreshRoom(companion_index Index, instant Now) {
+  Capacity.setRoom(Index, roomOf(Records[Index], Now));
 }
 
 bool companion_table::hasNeeds(companion_index Index, class_index Class) const {
@@ -220,11 +274,16 @@
   return Slots;
 }
 
-void companion_table::refreshEntries() {
+void companion_table::refreshSums() {
   std::uint32_t Entries = 1;
+  SumOthers = 0;
+  SumSlots = 0;
   for (const auto &[Name, Index] : Names) {
-    if (Records[Index].Link) {
-      Entries = std::max(Entries, Records[Index].Entries);
+    const companion_record &Record = Records[Index];
+    SumOthers += Record.CountedOthers;
+    SumSlots += Record.CountedSlots;
+    if (Record.Link) {
+      Entries = std::max(Entries, Record.Entries);
     }
   }
   LiveEntries = Entries;
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -40,37 +40,46 @@
   /// Forgets a companion without outstanding tasks.
   void remove(companion_index Index);
 
-  void attachLink(companion_index Index, link_id Link);
+  void attachLink(companion_index Index, link_id Link, instant Now);
   void detachLink(companion_index Index, instant Now);
 
+  /// Takes the run time of a task that has ended, of any class.
+  void noteRunTime(duration RunTime);
+  /// Brings the room of the next few companions up to date, since what was
+  /// heard of the other entries' tasks is worth less with time.
+  void refreshSome(instant Now);
+
   /// Notes that \p Task is on the companion from now on.
   void assign(const task_ref &Task, companion_index Index, instant Now);
   /// Notes that \p Task is no longer on its companion.
-  void release(const task_ref &Task);
+  void release(const task_ref &Task, instant Now);
   /// Takes a load that the companion has told. Placements written up to
   /// \p SeenUntil are counted in it.
   void takeLoad(companion_index Index, const companion_load &Load,
-                instant SeenUntil);
+                instant SeenUntil, instant Now);
 
   /// Recomputes which classes the companion can run, after a change of its
   /// link, its endpoint, its standing or the configuration.
-  void refreshClasses(companion_index Index);
-  void refreshAllClasses();
+  void refreshClasses(companion_index Index, instant Now);
+  void refreshAllClasses(instant Now);
   /// Recomputes the room of the companion.
-  void refreshRoom(companion_index Index);
+  void refreshRoom(companion_index Index, instant Now);
 
   /// \returns whether the companion has what another task of \p Class needs.
   bool hasNeeds(companion_index Index, class_index Class) const;
-  /// \returns tasks that the companion has by the entry's estimate.
-  std::uint32_t estimateTasks(companion_index Index) const;
+  /// \returns tasks that the companion has by the entry's estimate: its own,
+  /// and those of the other entries as last heard. What was heard long ago
+  /// gives way to the mean over all companions.
+  double estimateTasks(const companion_record &Record, instant Now) const;
   /// \returns linked and serving companions that can run \p Class, those
   /// barred from it included.
   std::uint32_t countRunners(class_index Class) const;
   /// \returns slots of the companions that may be given \p Class.
   std::uint32_t countSlots(class_index Class) const;
 
-  /// Counts the live entries anew from what the companions have told.
-  void refreshEntries();
+  /// Counts the live entries and the other entries' tasks anew from what the
+  /// companions have told.
+  void refreshSums();
   /// \returns entries that share the companions, this one included.
   std::uint32_t countEntries() const { return LiveEntries; }
 
@@ -82,7 +91,8 @@
   bool mayServe(const companion_record &Record) const;
   std::vector<class_index> runnableClasses(const companion_record &R) const;
   void setRunnable(companion_record &Record, std::vector<class_index> Runnable);
-  std::int32_t roomOf(const companion_record &Record) const;
+  std::int32_t roomOf(const companion_record &Record, instant Now) const;
+  void countOthers(companion_record &Record);
 
   const class_table &Classes;
   std::string Zone;
@@ -94,6 +104,10 @@
   std::vector<companion_index> DirtyList;
   std::vector<std::uint32_t> Runners; ///< By class.
   std::uint32_t LiveEntries = 1;
+  double SumOthers = 0; ///< Of all serving companions.
+  double SumSlots = 0;
+  double MeanRunTime = 0; ///< In microseconds, over all classes.
+  companion_index NextRefresh = 0;
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/configuration_keeper.cpp
+++ b/packages/entry/src/configuration_keeper.cpp
@@ -18,7 +18,7 @@
   State.Configuration = Offered;
   State.Classes.update(Offered);
   State.Teams.update(Offered);
-  State.Companions.refreshAllClasses();
+  State.Companions.refreshAllClasses(State.now());
   State.Sink.record(
       {.Kind = event_kind::ConfigurationInForce, .Value = Revision});
   State.Sink.push(configuration_adopted{.Configuration = Offered});
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -69,7 +69,7 @@
       State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
   Links.checkTimes();
   Claims.retryUnsettled();
-  State.Companions.refreshEntries();
+  State.Companions.refreshSums();
   Health.checkTimes();
   Admission.checkTimes();
   Jobs.checkEndpoints();
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -129,6 +129,7 @@
            Job.GivenBack.end();
   };
   const std::function<bool(companion_index)> Filter = std::ref(MayTake);
+  State.Companions.refreshSome(State.now());
   return Policy->choose({.Class = Job.Class,
                          .Waiting = State.Queue.getCount(),
                          .Companions = State.Companions,
--- a/packages/entry/src/health.cpp
+++ b/packages/entry/src/health.cpp
@@ -81,10 +81,10 @@
   Record.SetAside = Member.AllSetAside;
   if (Barred != Record.Barred) {
     Record.Barred = std::move(Barred);
-    State.Companions.refreshClasses(Companion);
+    State.Companions.refreshClasses(Companion, State.now());
     return;
   }
-  State.Companions.refreshRoom(Companion);
+  State.Companions.refreshRoom(Companion, State.now());
 }
 
 void health::welcome(companion_index Companion) {
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -363,7 +363,7 @@
     const companion_index Companion = Task.Companion;
     if (!Task.Written) {
       State.Companions[Companion].Outbox.removePlacement(Ref);
-      State.Companions.release(Ref);
+      State.Companions.release(Ref, State.now());
       Task.State = task_state::NotStarted;
       --Job.Placed;
       --State.UnfinishedTasks;
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -90,9 +90,10 @@
   Record.Endpoint = Hello.Endpoint;
   Record.Load = Hello.Load;
   Record.Unseen.clear();
+  Record.OthersAt = State.now();
   Record.ConfigurationRevision = Hello.ConfigurationRevision;
   Record.HeardAt = State.now();
-  State.Companions.attachLink(Companion, Link);
+  State.Companions.attachLink(Companion, Link, State.now());
   State.Sink.recordPeer(event_kind::LinkOpened, Record.Id.Name);
   greet(Companion);
   resume(Companion);
@@ -181,7 +182,7 @@
           },
           [&](endpoint_report &Report) {
             State.Companions[Companion].Endpoint = std::move(Report);
-            State.Companions.refreshClasses(Companion);
+            State.Companions.refreshClasses(Companion, State.now());
           },
           [&](task_ended &End) { Ends.takeEnd(Companion, std::move(End)); },
           [&](resume_reply &Reply) {
@@ -212,7 +213,8 @@
 void link_manager::takeLoad(companion_index Companion,
                             const companion_load &Load) {
   const duration RoundTrip = State.Companions[Companion].RoundTrip;
-  State.Companions.takeLoad(Companion, Load, State.now() - RoundTrip);
+  State.Companions.takeLoad(Companion, Load, State.now() - RoundTrip,
+                            State.now());
 }
 
 void link_manager::close(link_id Link, const std::string &Reason) {
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -40,11 +40,7 @@
                           State.companionName(Companion));
     return;
   }
-  // The companion had received every earlier placement before this end.
   const instant PlacedAt = Task->get().PlacedAt;
-  const duration RoundTrip = State.Companions[Companion].RoundTrip;
-  State.Companions.takeLoad(Companion, End.Load,
-                            std::max(PlacedAt, State.now() - RoundTrip));
   if (auto *Completed = std::get_if<task_completed>(&End.End)) {
     takeOutput(Companion, *Task, *Completed);
   } else if (const auto *Failed = std::get_if<task_failed>(&End.End)) {
@@ -54,10 +50,15 @@
   } else {
     takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
   }
+  // The companion had received every earlier placement before this end.
+  const duration RoundTrip = State.Companions[Companion].RoundTrip;
+  State.Companions.takeLoad(Companion, End.Load,
+                            std::max(PlacedAt, State.now() - RoundTrip),
+                            State.now());
 }
 
 void task_ends::release(const task_ref &Task, task_state Next) {
-  State.Companions.release(Task);
+  State.Companions.release(Task, State.now());
   Task.get().State = Next;
   --Task.Job->Placed;
   if (Next == task_state::Waiting) {
@@ -78,6 +79,7 @@
                      .Task = Task.Index,
                      .Peer = State.companionName(Companion),
                      .Digest = digest(Completed.Output.getBytes())});
+  State.Companions.noteRunTime(Completed.RunTime);
   learnRoundTrip(Companion, Task.get(), Completed.RunTime);
   release(Task, task_state::Completed);
   Health.noteCompleted(Companion, Job.Class, Task.get().PlacedAt);
