Fail jobs whose given back tasks have no endpoint left

Change: the entry fails such jobs as not run, like those in its queue; lint of the replay's sources.

--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -310,13 +310,26 @@
       continue;
     }
     while (job *Job = State.Queue.getAny(Class)) {
-      fail(*Job, {.Code = failure_code::NoEndpoint,
-                  .Reason = "No endpoint can run class '" +
-                            State.Classes[Class].Spec.Name + "'."});
+      failWithoutEndpoint(*Job);
+    }
+    // Jobs whose last waiting tasks were given back are not in the queue.
+    const auto Retries = State.Retries.getTasks();
+    for (const task_id &Task : Retries) {
+      job *Job = State.Jobs.find(Task.Job);
+      if (Job != nullptr && Job->Class == Class &&
+          Job->Phase == job_phase::Active) {
+        failWithoutEndpoint(*Job);
+      }
     }
   }
 }
 
+void job_manager::failWithoutEndpoint(job &Job) {
+  fail(Job, {.Code = failure_code::NoEndpoint,
+             .Reason = "No endpoint can run class '" +
+                       State.Classes[Job.Class].Spec.Name + "'."});
+}
+
 void job_manager::expire(job &Job) {
   if (Job.Phase == job_phase::Answered) {
     // The answer to the claim no longer matters.
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -50,6 +50,7 @@
   void finishWithResults(job &Job);
   void finishWithFailure(job &Job);
   void countAnswer(const job &Job, bool Completed);
+  void failWithoutEndpoint(job &Job);
   void recordStoredEnd(const job &Job, const job_outcome &Outcome);
   void sendAnswer(job &Job, job_outcome Outcome);
 
--- a/packages/replay/include/crocuswood/replay.h
+++ b/packages/replay/include/crocuswood/replay.h
@@ -100,7 +100,7 @@
 /// Takes lines out of \p Text as long as \p Fails holds for what is left.
 /// Lines that end faults stay. \returns a trace from which no other line can be
 /// taken out.
-std::string shrink(std::string Text,
+std::string shrink(const std::string &Text,
                    const std::function<bool(const std::string &)> &Fails);
 
 /// Runs \p Trace. The same trace and options give the same result, byte for
--- a/packages/replay/src/input_parser.cpp
+++ b/packages/replay/src/input_parser.cpp
@@ -30,7 +30,7 @@
 }
 
 std::string readProcess(object_reader &Reader, const trace_header &Header) {
-  const std::string Name = Reader.requireText("what");
+  std::string Name = Reader.requireText("what");
   if (!isEntry(Header, Name) && !isCompanion(Header, Name) &&
       !isEndpoint(Header, Name)) {
     Reader.fault("what", "names no process of the fleet");
@@ -39,7 +39,7 @@
 }
 
 std::string readEndpoint(object_reader &Reader, const trace_header &Header) {
-  const std::string Name = Reader.requireText("what");
+  std::string Name = Reader.requireText("what");
   if (!isEndpoint(Header, Name)) {
     Reader.fault("what", "names no endpoint of the fleet");
   }
@@ -47,7 +47,7 @@
 }
 
 std::string readEntry(object_reader &Reader, const trace_header &Header) {
-  const std::string Name = Reader.readText("entry", "");
+  std::string Name = Reader.readText("entry", "");
   if (!Name.empty() && !isEntry(Header, Name)) {
     Reader.fault("entry", "names no entry of the fleet");
   }
--- a/packages/replay/src/outcomes.cpp
+++ b/packages/replay/src/outcomes.cpp
@@ -206,12 +206,10 @@
 };
 
 std::vector<expectation> makeGeneralExpectations() {
-  std::vector<expectation> Expectations = {
-      {.Metric = "checker", .Is = "clean"}};
-  for (const char *Metric : {"unanswered", "wrong_answers", "unstopped"}) {
-    Expectations.push_back({.Metric = Metric, .AtLeast = 0, .AtMost = 0});
-  }
-  return Expectations;
+  return {{.Metric = "checker", .Is = "clean"},
+          {.Metric = "unanswered", .AtLeast = 0, .AtMost = 0},
+          {.Metric = "wrong_answers", .AtLeast = 0, .AtMost = 0},
+          {.Metric = "unstopped", .AtLeast = 0, .AtMost = 0}};
 }
 
 } // namespace
@@ -220,6 +218,7 @@
   const outcome_judge Judge(Evidence);
   const auto &Stated = Evidence.Trace.Expectations;
   std::vector<outcome_result> Results;
+  Results.reserve(Stated.size());
   for (const expectation &Expectation : Stated) {
     Results.push_back(Judge.judge(Expectation));
   }
--- a/packages/replay/src/schedule_generator.cpp
+++ b/packages/replay/src/schedule_generator.cpp
@@ -158,7 +158,7 @@
   void addLinkFault(const std::string &From, const std::string &Until) {
     static const std::vector<std::string> Modes = {"cut", "silence", "silence",
                                                    "partition", "delay"};
-    const std::string Mode = Modes[Random.below(Modes.size())];
+    const std::string &Mode = Modes[Random.below(Modes.size())];
     json Fault = {{"at", From}, {"do", "link"}, {"mode", Mode}};
     json Heal = {{"at", Until}, {"do", "link"}, {"mode", "heal"}};
     if (Random.below(3) != 0) {
@@ -270,7 +270,7 @@
   return schedule_generator(Seed).make();
 }
 
-std::string shrink(std::string Text,
+std::string shrink(const std::string &Text,
                    const std::function<bool(const std::string &)> &Fails) {
   std::vector<std::string> Lines = splitLines(Text);
   bool Shrunk = true;
