--- a/packages/replay/src/bound.cpp
+++ b/packages/replay/src/bound.cpp
@@ -9,7 +9,7 @@
 #include <map>
 #include <optional>
 #include <queue>
-#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -199,9 +199,9 @@
 } // namespace
 
 std::string toString(queue_order Order) {
-  static const std::array<std::string, 3> Names = {
+  constexpr std::array<std::string_view, 3> Names = {
       "first_come", "earliest_deadline", "shortest_first"};
-  return Names.at(static_cast<std::size_t>(Order));
+  return std::string(Names.at(static_cast<std::size_t>(Order)));
 }
 
 bound_result computeBound(const trace &Trace) {
--- a/packages/replay/src/input_parser.cpp
+++ b/packages/replay/src/input_parser.cpp
@@ -154,8 +154,8 @@
 }
 
 link_fault parseLink(object_reader &Reader) {
-  static const std::vector<std::string> Modes = {"cut", "silence", "partition",
-                                                 "delay", "heal"};
+  const std::vector<std::string> Modes = {"cut", "silence", "partition",
+                                          "delay", "heal"};
   return {.Mode = static_cast<link_mode>(Reader.readChoice("mode", Modes)),
           .First = Reader.readText("from", ""),
           .Second = Reader.readText("to", ""),
@@ -163,16 +163,15 @@
 }
 
 store_fault parseStore(object_reader &Reader) {
-  static const std::vector<std::string> Modes = {"ok", "down", "slow",
-                                                 "lose_answers"};
+  const std::vector<std::string> Modes = {"ok", "down", "slow", "lose_answers"};
   return {.Mode = static_cast<store_mode>(Reader.readChoice("mode", Modes)),
           .Span = Reader.readSpan("by", std::chrono::seconds(2))};
 }
 
 endpoint_fault parseEndpoint(object_reader &Reader,
                              const trace_header &Header) {
-  static const std::vector<std::string> Modes = {"ok", "fails", "slow",
-                                                 "refuses", "resets"};
+  const std::vector<std::string> Modes = {"ok", "fails", "slow", "refuses",
+                                          "resets"};
   return {.What = readEndpoint(Reader, Header),
           .Mode = static_cast<endpoint_mode>(Reader.readChoice("mode", Modes)),
           .Factor = Reader.readNumber("factor", 1),
@@ -207,8 +206,8 @@
 
 using fault_reader = fault (*)(object_reader &, const trace_header &);
 
-const std::map<std::string, fault_reader> &getFaultReaders() {
-  static const std::map<std::string, fault_reader> Readers = {
+std::map<std::string, fault_reader> makeFaultReaders() {
+  return {
       {"kill",
        [](object_reader &Reader, const trace_header &Header) -> fault {
          return kill_process{.What = readProcess(Reader, Header),
@@ -255,7 +254,6 @@
          return cancel_wave{Reader.readNumber("share", 1)};
        }},
   };
-  return Readers;
 }
 
 } // namespace
@@ -263,12 +261,13 @@
 void parseInput(object_reader &Reader, trace_content &Content) {
   const instant At{Reader.readSpan("at", {})};
   const std::string What = Reader.requireText("do");
-  const auto Fault = getFaultReaders().find(What);
+  const auto Readers = makeFaultReaders();
+  const auto Fault = Readers.find(What);
   if (What == "submit") {
     parseSubmit(Reader, At, Content);
   } else if (What == "load") {
     parseLoad(Reader, At, Content);
-  } else if (Fault != getFaultReaders().end()) {
+  } else if (Fault != Readers.end()) {
     Content.Faults.push_back({.At = At,
                               .Fault = Fault->second(Reader, Content.Header),
                               .Line = Reader.getLine()});
--- a/packages/replay/src/object_reader.cpp
+++ b/packages/replay/src/object_reader.cpp
@@ -8,7 +8,7 @@
 namespace crocuswood::replay {
 
 std::optional<duration> parseDuration(std::string_view Text) {
-  static const std::map<std::string_view, double> Units = {
+  const std::map<std::string_view, double> Units = {
       {"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"m", 60e6}, {"h", 3600e6}};
   double Number = 0;
   const char *End = Text.data() + Text.size();
--- a/packages/replay/src/outcomes.cpp
+++ b/packages/replay/src/outcomes.cpp
@@ -31,8 +31,8 @@
 
 using predicate = std::function<bool(const submission &)>;
 
-const std::map<std::string, predicate> &getCounters() {
-  static const std::map<std::string, predicate> Counters = {
+std::map<std::string, predicate> makeCounters() {
+  return {
       {"submitted", [](const submission &) { return true; }},
       {"completed", isCompleted},
       {"failed",
@@ -46,7 +46,6 @@
       {"unanswered", [](const submission &Each) { return !Each.Ended; }},
       {"wrong_answers", [](const submission &Each) { return Each.Wrong; }},
   };
-  return Counters;
 }
 
 std::string write(double Number) {
@@ -109,8 +108,9 @@
 
   std::optional<double> measure(const expectation &Expectation) const {
     const std::string &Metric = Expectation.Metric;
-    const auto Counter = getCounters().find(Metric);
-    if (Counter != getCounters().end()) {
+    const auto Counters = makeCounters();
+    const auto Counter = Counters.find(Metric);
+    if (Counter != Counters.end()) {
       return count(Expectation.Class, Counter->second);
     }
     if (const auto Value = measurePrefixed(Expectation)) {
--- a/packages/replay/src/schedule_generator.cpp
+++ b/packages/replay/src/schedule_generator.cpp
@@ -156,8 +156,8 @@
   }
 
   void addLinkFault(const std::string &From, const std::string &Until) {
-    static const std::vector<std::string> Modes = {"cut", "silence", "silence",
-                                                   "partition", "delay"};
+    const std::vector<std::string> Modes = {"cut", "silence", "silence",
+                                            "partition", "delay"};
     const std::string &Mode = Modes[Random.below(Modes.size())];
     json Fault = {{"at", From}, {"do", "link"}, {"mode", Mode}};
     json Heal = {{"at", Until}, {"do", "link"}, {"mode", "heal"}};
@@ -172,8 +172,7 @@
   }
 
   void addStoreFault(const std::string &From, const std::string &Until) {
-    static const std::vector<std::string> Modes = {"down", "slow",
-                                                   "lose_answers"};
+    const std::vector<std::string> Modes = {"down", "slow", "lose_answers"};
     add({{"at", From},
          {"do", "store"},
          {"mode", Modes[Random.below(Modes.size())]},
@@ -182,8 +181,8 @@
   }
 
   void addEndpointFault(const std::string &From, const std::string &Until) {
-    static const std::vector<std::string> Modes = {"fails", "slow", "refuses",
-                                                   "resets"};
+    const std::vector<std::string> Modes = {"fails", "slow", "refuses",
+                                            "resets"};
     const std::string What = drawNumbered("runner-");
     add({{"at", From},
          {"do", "endpoint"},
@@ -257,8 +256,8 @@
 
 // Without these a fault would last for ever, which is another failure.
 bool endsFaults(const std::string &Line) {
-  static const std::vector<std::string> Ends = {"\"start\"", "\"thaw\"",
-                                                "\"heal\"", "\"mode\":\"ok\""};
+  const std::vector<std::string> Ends = {"\"start\"", "\"thaw\"", "\"heal\"",
+                                         "\"mode\":\"ok\""};
   return std::ranges::any_of(Ends, [&Line](const std::string &End) {
     return Line.find(End) != std::string::npos;
   });
