--- a/packages/replay/src/outcomes.cpp
+++ b/packages/replay/src/outcomes.cpp
@@ -31,8 +31,8 @@
 
 using predicate = std::function<bool(const submission &)>;
 
-const std::map<std::string, predicate> &getCounters() {
-  static const std::map<std::string, predicate> Counters = {
+std::map<std::string, predicate> makeCounters() {
+  return {
       {"submitted", [](const submission &) { return true; }},
       {"completed", isCompleted},
       {"failed",
@@ -46,7 +46,6 @@
       {"unanswered", [](const submission &Each) { return !Each.Ended; }},
       {"wrong_answers", [](const submission &Each) { return Each.Wrong; }},
   };
-  return Counters;
 }
 
 std::string write(double Number) {
@@ -109,8 +108,9 @@
 
   std::optional<double> measure(const expectation &Expectation) const {
     const std::string &Metric = Expectation.Metric;
-    const auto Counter = getCounters().find(Metric);
-    if (Counter != getCounters().end()) {
+    const auto Counters = makeCounters();
+    const auto Counter = Counters.find(Metric);
+    if (Counter != Counters.end()) {
       return count(Expectation.Class, Counter->second);
     }
     if (const auto Value = measurePrefixed(Expectation)) {
@@ -206,12 +206,10 @@
 };
 
 std::vector<expectation> makeGeneralExpectations() {
-  std::vector<expectation> Expectations = {
-      {.Metric = "checker", .Is = "clean"}};
-  for (const char *Metric : {"unanswered", "wrong_answers", "unstopped"}) {
-    Expectations.push_back({.Metric = Metric, .AtLeast = 0, .AtMost = 0});
-  }
-  return Expectations;
+  return {{.Metric = "checker", .Is = "clean"},
+          {.Metric = "unanswered", .AtLeast = 0, .AtMost = 0},
+          {.Metric = "wrong_answers", .AtLeast = 0, .AtMost = 0},
+          {.Metric = "unstopped", .AtLeast = 0, .AtMost = 0}};
 }
 
 } // namespace
@@ -220,6 +218,7 @@
   const outcome_judge Judge(Evidence);
   const auto &Stated = Evidence.Trace.Expectations;
   std::vector<outcome_result> Results;
+  Results.reserve(Stated.size());
   for (const expectation &Expectation : Stated) {
     Results.push_back(Judge.judge(Expectation));
   }
