--- a/packages/wire/src/envelope_reader.h
+++ b/packages/wire/src/envelope_reader.h
@@ -40,17 +40,15 @@
     return true;
   }
 
+  // A real number without a fraction arrives as an integer.
   bool read(double &Value) {
-    // The library writes whole real numbers as integers.
-    switch (peekKind()) {
-    case token_kind::Unsigned:
+    if (peekKind() == token_kind::Unsigned) {
       Value = static_cast<double>(take().Unsigned);
       return true;
-    case token_kind::Signed:
+    }
+    if (peekKind() == token_kind::Signed) {
       Value = static_cast<double>(take().Signed);
       return true;
-    default:
-      break;
     }
     if (!expect(token_kind::Real)) {
       return false;
