--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -33,11 +33,18 @@
     """A test has found a broken promise or waited in vain."""
 
 
+# Sockets that hold the ports given out. They don't listen, so that a program can still bind
+# them, but the system gives them to nobody else.
+HELD_PORTS = []
+
+
 def free_port():
-    """Returns a port that the system has just chosen."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port that the system has just chosen and keeps for this test."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((HOST, 0))
+    HELD_PORTS.append(holder)
+    return holder.getsockname()[1]
 
 
 def wait_until(condition, what):
@@ -245,8 +252,14 @@
 
     def wait_until_ready(self):
         for process in self.entries + self.companions:
-            wait_until(lambda: request("GET", process.operators, "/health")[0] == 200,
-                       f"{process.name} is ready")
+            self.wait_until_healthy(process)
+
+    def wait_until_healthy(self, process):
+        def is_healthy():
+            expect(process.is_running(), f"{process.name} has ended")
+            return request("GET", process.operators, "/health")[0] == 200
+
+        wait_until(is_healthy, f"{process.name} is ready")
 
     def control(self, process, mode, delay_ms=0):
         address = getattr(process, "control", process.address)
--- a/tests/processes/replacement_test.py
+++ b/tests/processes/replacement_test.py
@@ -1,10 +1,6 @@
 """Every VM is replaced by a planned stop, one after another, under load."""
 
-from fleet import expect_every_answer, expect_honest, request, run, wait_until
-
-
-def is_ready(process):
-    return request("GET", process.operators, "/health")[0] == 200
+from fleet import expect_every_answer, expect_honest, run
 
 
 def test(fleet):
@@ -13,7 +9,7 @@
     for number in range(3):
         old_companion, old_endpoint = fleet.companions[number], fleet.endpoints[number]
         fleet.add_endpoint_vm(number + 4)
-        wait_until(lambda: is_ready(fleet.companions[-1]), "the new companion is ready")
+        fleet.wait_until_healthy(fleet.companions[-1])
         old_endpoint.stop()
         old_companion.stop()
         fleet.wait_for_answers(load, 30)
@@ -21,7 +17,7 @@
         old = fleet.entries[number]
         old.stop()
         fleet.entries[number] = fleet.start_entry(old.name, callers=old.callers)
-        wait_until(lambda: is_ready(fleet.entries[number]), "the new entry is ready")
+        fleet.wait_until_healthy(fleet.entries[number])
         fleet.wait_for_answers(load, 30)
     tally = fleet.stop_load(load)
     expect_honest(tally)
