Follow the linter in the HTTP package's tests and benchmark

Cause: clang-tidy found sizes that widen late, a hidden virtual function, an unused variable and copies in callbacks; and the order of addresses in a map trips it over the generated comparison. Change: mended, the map of servers has an order of its own.

--- a/benchmarks/http/caller_front_benchmark.cpp
+++ b/benchmarks/http/caller_front_benchmark.cpp
@@ -9,7 +9,6 @@
 #include <boost/program_options.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <ctime>
 #include <iostream>
@@ -134,7 +133,6 @@
   const auto Port =
       std::get<std::uint16_t>(Front.listen({.Host = "127.0.0.1"}));
   measured Result;
-  std::atomic<bool> Started{false};
   std::thread Server([&] {
     const auto Guard = boost::asio::make_work_guard(Context);
     const double Before = threadSeconds();
--- a/packages/http/src/plain_client.cpp
+++ b/packages/http/src/plain_client.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <set>
+#include <tuple>
 
 namespace crocuswood::http {
 
@@ -41,6 +42,12 @@
   return Message;
 }
 
+struct address_order {
+  bool operator()(const peer_address &Left, const peer_address &Right) const {
+    return std::tie(Left.Host, Left.Port) < std::tie(Right.Host, Right.Port);
+  }
+};
+
 } // namespace
 
 /// Keeps connections to each server and lends them to requests.
@@ -236,7 +243,7 @@
   duration TimeLimit;
   asio::steady_timer Timer;
   bool Scheduled = false;
-  std::map<peer_address, server> Servers;
+  std::map<peer_address, server, address_order> Servers;
   /// Tells late callbacks that this object is gone.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr std::size_t HeaderReadBytes = 8U * 1024;
-constexpr std::size_t BodyReadBytes = 64U * 1024;
-constexpr std::size_t MaxReadAheadBytes = 64U * 1024;
-constexpr std::size_t MaxDiscardedBytes = 4U * 1024 * 1024;
+constexpr std::size_t HeaderReadBytes = 8'192;
+constexpr std::size_t BodyReadBytes = 65'536;
+constexpr std::size_t MaxReadAheadBytes = 65'536;
+constexpr std::size_t MaxDiscardedBytes = 4'194'304;
 constexpr std::chrono::seconds LingerLimit{1};
 constexpr duration DrainRequestLimit = std::chrono::seconds(5);
 constexpr unsigned StatusNoContent = 204;
--- a/tests/http/clients_test.cpp
+++ b/tests/http/clients_test.cpp
@@ -144,7 +144,7 @@
 TEST_GROUP(EndpointClient) {
   boost::asio::io_context Context;
 
-  endpoint_outcome run(const peer_address &Endpoint, duration TimeLimit) {
+  endpoint_outcome runTask(const peer_address &Endpoint, duration TimeLimit) {
     endpoint_client Client(Context, TimeLimit);
     std::optional<endpoint_outcome> Result;
     Client.run(
@@ -161,7 +161,7 @@
 
 TEST(EndpointClient, CallNamesTaskAndClass) {
   scripted_server Server(Context, {{reply(200, "[2]")}});
-  const endpoint_outcome Outcome = run(Server.address(), Limit);
+  const endpoint_outcome Outcome = runTask(Server.address(), Limit);
   CHECK_EQUAL(
       std::string("[2]"),
       std::string(std::get<endpoint_completed>(Outcome).Output.getBytes()));
@@ -177,16 +177,17 @@
   scripted_server Server(
       Context,
       {{reply(500, "broken")}, {reply(200, "not JSON")}, {"", true}, {""}});
-  CHECK_EQUAL(std::string("broken"),
-              std::get<endpoint_failed>(run(Server.address(), Limit)).Reason);
-  CHECK_TRUE(
-      std::holds_alternative<endpoint_failed>(run(Server.address(), Limit)));
-  CHECK_TRUE(
-      std::holds_alternative<endpoint_lost>(run(Server.address(), Limit)));
+  CHECK_EQUAL(
+      std::string("broken"),
+      std::get<endpoint_failed>(runTask(Server.address(), Limit)).Reason);
+  CHECK_TRUE(std::holds_alternative<endpoint_failed>(
+      runTask(Server.address(), Limit)));
   CHECK_TRUE(
-      std::holds_alternative<endpoint_lost>(run(Server.address(), ShortLimit)));
+      std::holds_alternative<endpoint_lost>(runTask(Server.address(), Limit)));
+  CHECK_TRUE(std::holds_alternative<endpoint_lost>(
+      runTask(Server.address(), ShortLimit)));
   CHECK_TRUE(std::holds_alternative<endpoint_not_reached>(
-      run(closedAddress(Context), Limit)));
+      runTask(closedAddress(Context), Limit)));
 }
 
 TEST(EndpointClient, StopNamesTheTask) {
--- a/tests/http/platform_client_test.cpp
+++ b/tests/http/platform_client_test.cpp
@@ -21,14 +21,15 @@
   }
   read_outcome read(const std::string &Key) {
     std::optional<read_outcome> Result;
-    Client->read(Key, [&Result](read_outcome Outcome) { Result = Outcome; });
+    Client->read(Key,
+                 [&Result](const read_outcome &Outcome) { Result = Outcome; });
     CHECK_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
     return *Result;
   }
   range_outcome readRange() {
     std::optional<range_outcome> Result;
-    Client->readRange("p/",
-                      [&Result](range_outcome Outcome) { Result = Outcome; });
+    Client->readRange(
+        "p/", [&Result](const range_outcome &Outcome) { Result = Outcome; });
     CHECK_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
     return *Result;
   }
