Damage the platform's answers from seeds

Cause: bad input to the platform client was tested by chosen cases only. Change: damaged answers from 150 seeds, each call has to end and the next whole answer has to be read.

--- a/tests/http/platform_client_test.cpp
+++ b/tests/http/platform_client_test.cpp
@@ -146,3 +146,25 @@
     CHECK_EQUAL(Exists, Got->has_value());
   }
 }
+
+TEST(PlatformClient, DamagedAnswersEndAndHarmNoLaterCall) {
+  const std::string Rows =
+      reply(200, R"({"rows":[{"key":"p/a","value":"1","etag":"y"}]})");
+  const std::string Batch =
+      reply(200, R"([{"status":200,"etag":"1"}])", "ETag: \"1\"\r\n");
+  std::deque<scripted_server::step> Steps;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    Steps.push_back({damage(Batch, Random), true});
+    Steps.push_back({damage(Batch, Random), true});
+    Steps.push_back({damage(Rows, Random), true});
+    Steps.push_back({Rows, true});
+  }
+  script(Steps);
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    writeOne();
+    read("k");
+    readRange();
+    CHECK_EQUAL(1U, readRange().Rows.size());
+  }
+}
--- a/tests/http/server_input_test.cpp
+++ b/tests/http/server_input_test.cpp
@@ -8,38 +8,6 @@
 using namespace crocuswood::http;
 using namespace crocuswood::http::test;
 
-namespace {
-
-constexpr std::uint64_t Seeds = 150;
-
-/// \returns \p Text with a few bytes changed, removed or repeated.
-std::string damage(std::string Text, std::mt19937_64 &Random) {
-  const auto Below = [&Random](std::size_t Bound) {
-    return static_cast<std::size_t>(Random() % Bound);
-  };
-  const std::size_t Changes = 1 + Below(4);
-  for (std::size_t Change = 0; Change < Changes && !Text.empty(); ++Change) {
-    const std::size_t Place = Below(Text.size());
-    switch (Below(4)) {
-    case 0:
-      Text[Place] = static_cast<char>(Random());
-      break;
-    case 1:
-      Text.erase(Place, 1 + Below(5));
-      break;
-    case 2:
-      Text.insert(Place, Text.substr(Below(Text.size()), 10));
-      break;
-    default:
-      Text.resize(Place);
-      break;
-    }
-  }
-  return Text;
-}
-
-} // namespace
-
 TEST_GROUP(ServerInput) {
   boost::asio::io_context Context;
   server_limits Limits{.MaxBodyBytes = 4'096,
