--- a/tests/http/platform_client_test.cpp
+++ b/tests/http/platform_client_test.cpp
@@ -21,14 +21,15 @@
   }
   read_outcome read(const std::string &Key) {
     std::optional<read_outcome> Result;
-    Client->read(Key, [&Result](read_outcome Outcome) { Result = Outcome; });
+    Client->read(Key,
+                 [&Result](const read_outcome &Outcome) { Result = Outcome; });
     CHECK_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
     return *Result;
   }
   range_outcome readRange() {
     std::optional<range_outcome> Result;
-    Client->readRange("p/",
-                      [&Result](range_outcome Outcome) { Result = Outcome; });
+    Client->readRange(
+        "p/", [&Result](const range_outcome &Outcome) { Result = Outcome; });
     CHECK_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
     return *Result;
   }
@@ -145,3 +146,25 @@
     CHECK_EQUAL(Exists, Got->has_value());
   }
 }
+
+TEST(PlatformClient, DamagedAnswersEndAndHarmNoLaterCall) {
+  const std::string Rows =
+      reply(200, R"({"rows":[{"key":"p/a","value":"1","etag":"y"}]})");
+  const std::string Batch =
+      reply(200, R"([{"status":200,"etag":"1"}])", "ETag: \"1\"\r\n");
+  std::deque<scripted_server::step> Steps;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    Steps.push_back({damage(Batch, Random), true});
+    Steps.push_back({damage(Batch, Random), true});
+    Steps.push_back({damage(Rows, Random), true});
+    Steps.push_back({Rows, true});
+  }
+  script(Steps);
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    writeOne();
+    read("k");
+    readRange();
+    CHECK_EQUAL(1U, readRange().Rows.size());
+  }
+}
