Wait for a change to show at the entry

Cause: an entry shows a new revision some time after it accepted it, so the next command read the old one and met a conflict with its own predecessor. Seen on real processes: a second change right after the first ended in a conflict. Change: the command waits until its entry shows the revision, and reads again after a conflict.

--- a/programs/crocuswood/change_sender.cpp
+++ b/programs/crocuswood/change_sender.cpp
@@ -5,6 +5,13 @@
 
 namespace crocuswood::command_line {
 
+namespace {
+
+constexpr duration RevisionPoll = std::chrono::milliseconds(50);
+constexpr int MaxRevisionPolls = 100;
+
+} // namespace
+
 change_sender::change_sender(const operators_api &Api, std::string What,
                              bool AsJson, run_context &Context)
     : Api(Api), What(std::move(What)), AsJson(AsJson), Context(Context) {}
@@ -21,6 +28,17 @@
   return std::holds_alternative<change_done>(Second) ? Second : First;
 }
 
+void change_sender::waitForRevision(std::uint64_t Revision) const {
+  for (int Poll = 0; Poll < MaxRevisionPolls; ++Poll) {
+    const auto Read = Api.readConfiguration();
+    const auto *Current = std::get_if<configuration>(&Read);
+    if (Current == nullptr || Current->Revision >= Revision) {
+      return;
+    }
+    Context.Sleep(RevisionPoll);
+  }
+}
+
 exit_code change_sender::report(const change_result &Result) const {
   if (const auto *Done = std::get_if<change_done>(&Result)) {
     return reportDone(*Done);
--- a/programs/crocuswood/change_sender.h
+++ b/programs/crocuswood/change_sender.h
@@ -22,6 +22,10 @@
   /// else's change.
   change_result send(change_request Change, std::uint64_t BaseRevision) const;
 
+  /// Waits until the entry shows \p Revision or a greater one, so that whoever
+  /// asks it next sees the change. Gives up after some seconds.
+  void waitForRevision(std::uint64_t Revision) const;
+
   /// Prints \p Result. \returns the code for it.
   exit_code report(const change_result &Result) const;
 
--- a/programs/crocuswood/json_text.cpp
+++ b/programs/crocuswood/json_text.cpp
@@ -64,6 +64,7 @@
   const auto Findings = Document.find("findings");
   if (Findings != Document.end() && Findings->is_array()) {
     Text += "\n" + describeFindings(*Findings);
+    Text.erase(Text.find_last_not_of('\n') + 1);
   }
   return Text;
 }
--- a/programs/crocuswood/main.cpp
+++ b/programs/crocuswood/main.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <thread>
 
 namespace {
 
@@ -37,12 +38,14 @@
 int main(int argc, char **argv) {
   command_line::network_http Http;
   command_line::local_files Files;
-  command_line::run_context Context{.Out = std::cout,
-                                    .Err = std::cerr,
-                                    .Http = Http,
-                                    .Files = Files,
-                                    .Environment = readEnvironment(),
-                                    .MakeId = makeId};
+  command_line::run_context Context{
+      .Out = std::cout,
+      .Err = std::cerr,
+      .Http = Http,
+      .Files = Files,
+      .Environment = readEnvironment(),
+      .MakeId = makeId,
+      .Sleep = [](duration Span) { std::this_thread::sleep_for(Span); }};
   const command_line::program Program;
   return static_cast<int>(Program.run({argv + 1, argv + argc}, Context));
 }
--- a/programs/crocuswood/run_context.h
+++ b/programs/crocuswood/run_context.h
@@ -5,6 +5,8 @@
 #include "file_port.h"
 #include "http_port.h"
 
+#include <crocuswood/model.h>
+
 #include <functional>
 #include <iosfwd>
 #include <map>
@@ -20,6 +22,7 @@
   file_port &Files;
   std::map<std::string, std::string> Environment;
   std::function<std::string()> MakeId; ///< Makes a unique id for a change.
+  std::function<void(duration)> Sleep;
 };
 
 } // namespace crocuswood::command_line
--- a/programs/crocuswood/spec_command.cpp
+++ b/programs/crocuswood/spec_command.cpp
@@ -30,6 +30,13 @@
   return Given.empty() ? Context.MakeId() : Given;
 }
 
+exit_code finish(const change_sender &Sender, const change_result &Result) {
+  if (const auto *Done = std::get_if<change_done>(&Result)) {
+    Sender.waitForRevision(Done->Revision);
+  }
+  return Sender.report(Result);
+}
+
 } // namespace
 
 exit_code spec_command::run(const std::vector<std::string> &Arguments,
@@ -162,12 +169,13 @@
       Change.ExpectedRevision = Current.Revision;
     }
     Result = Sender.send(std::move(Change), Current.Revision);
-    if (!std::holds_alternative<change_in_conflict>(Result) ||
-        expectedRevision(Values)) {
+    const auto *Conflict = std::get_if<change_in_conflict>(&Result);
+    if (Conflict == nullptr || expectedRevision(Values)) {
       break;
     }
+    Sender.waitForRevision(Conflict->CurrentRevision);
   }
-  return Sender.report(Result);
+  return finish(Sender, Result);
 }
 
 exit_code spec_command::remove(const operators_api &Api,
@@ -186,7 +194,7 @@
                    .ChangeId = chooseChangeId(Values, Context),
                    .ExpectedRevision = expectedRevision(Values)},
                   std::get<configuration>(Read).Revision);
-  return Sender.report(Result);
+  return finish(Sender, Result);
 }
 
 std::variant<std::string, exit_code> spec_command::chooseDocument(
--- a/tests/command_line/change_test.cpp
+++ b/tests/command_line/change_test.cpp
@@ -59,7 +59,28 @@
   Fixture.Http.answer(PutPivot, 409, R"({"current_revision":5})");
   CHECK_EQUAL(1, Fixture.run({"class", "set", "pivot", "--quantile", "0.9"}));
   CHECK_TRUE(Fixture.complained("revision 5 is current"));
-  CHECK_EQUAL(3U, Fixture.Http.Calls.size());
+  CHECK_EQUAL(4U, Fixture.Http.Calls.size());
+}
+
+TEST(Changes, AcceptedChangeIsWaitedForAtTheEntry) {
+  Fixture.Http.answer(Configuration, 200, documentAt(4, 0.5));
+  Fixture.Http.answer(Configuration, 200, documentAt(4, 0.5));
+  Fixture.Http.answer(Configuration, 200, documentAt(5, 0.25));
+  Fixture.Http.answer(PutPivot, 200, R"({"revision":5})");
+  CHECK_EQUAL(
+      0, Fixture.run({"class", "set", "pivot", "--refuse-at-most", "0.25"}));
+  CHECK_EQUAL(1, Fixture.Sleeps);
+}
+
+TEST(Changes, StaleReadIsRepeatedAfterAConflict) {
+  Fixture.Http.answer(Configuration, 200, documentAt(4, 0.5));
+  Fixture.Http.answer(Configuration, 200, documentAt(4, 0.5));
+  Fixture.Http.answer(Configuration, 200, documentAt(6, 0.5));
+  Fixture.Http.answer(PutPivot, 409, R"({"current_revision":6})");
+  Fixture.Http.answer(PutPivot, 200, R"({"revision":6})");
+  CHECK_EQUAL(0, Fixture.run({"class", "set", "pivot", "--quantile", "0.9"}));
+  CHECK_EQUAL(std::string("6"),
+              Fixture.Http.Calls[5].Request.Query.at("expected_revision"));
 }
 
 TEST(Changes, GivenRevisionIsNeverReplaced) {
--- a/tests/command_line/command_fixture.h
+++ b/tests/command_line/command_fixture.h
@@ -82,6 +82,7 @@
   fake_files Files;
   std::ostringstream Out;
   std::ostringstream Err;
+  int Sleeps = 0;
 
   /// \returns the exit code.
   int run(const std::vector<std::string> &Arguments) {
@@ -92,7 +93,8 @@
         .Files = Files,
         .Environment = {{"CROCUSWOOD_OPERATORS", "10.0.0.1:9000"},
                         {"CROCUSWOOD_CALLERS", "10.0.0.1:8080"}},
-        .MakeId = [] { return std::string("made-id"); }};
+        .MakeId = [] { return std::string("made-id"); },
+        .Sleep = [this](duration) { ++Sleeps; }};
     return static_cast<int>(program().run(Arguments, Context));
   }
   bool printed(const std::string &Part) const {
