Mend what the linter found in the command line

Cause: clang-tidy reports growth without reserve and a const return value. Change: reserve, and addresses that can be moved out.

--- a/programs/crocuswood/command_options.cpp
+++ b/programs/crocuswood/command_options.cpp
@@ -107,7 +107,7 @@
     reportUsage(Context, "State an entry with --operators IP:PORT.");
     return std::nullopt;
   }
-  const auto Address = parsePeerAddress(Text);
+  auto Address = parsePeerAddress(Text);
   if (!Address) {
     reportUsage(Context, "'" + Text + "' is not an address IP:PORT.");
   }
--- a/programs/crocuswood/operators_api.cpp
+++ b/programs/crocuswood/operators_api.cpp
@@ -168,6 +168,7 @@
     addProcesses(Other, ByName);
   }
   std::vector<process_entry> All;
+  All.reserve(ByName.size());
   for (auto &Item : ByName) {
     All.push_back(std::move(Item.second));
   }
@@ -199,6 +200,7 @@
     const std::vector<process_entry> &Processes, const std::string &Path,
     const std::map<std::string, std::string> &Query) const {
   std::vector<http_call> Calls;
+  Calls.reserve(Processes.size());
   for (const process_entry &Process : Processes) {
     Calls.push_back({.Server = Process.Operators,
                      .Request = {.Method = "GET", .Path = Path, .Query = Query},
@@ -206,6 +208,7 @@
   }
   std::vector<http::plain_reply> Replies = Http.sendAll(Calls);
   std::vector<api_result<std::string>> Results;
+  Results.reserve(Replies.size());
   for (std::size_t Index = 0; Index < Replies.size(); ++Index) {
     Results.push_back(takeBody(Calls[Index].Server, std::move(Replies[Index])));
   }
--- a/programs/crocuswood/submit_command.cpp
+++ b/programs/crocuswood/submit_command.cpp
@@ -49,7 +49,7 @@
   if (Text.empty() && Variable != Context.Environment.end()) {
     Text = Variable->second;
   }
-  const auto Address = parsePeerAddress(Text);
+  auto Address = parsePeerAddress(Text);
   if (!Address) {
     Options.reportUsage(Context, "State an entry with --callers IP:PORT.");
   }
