--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -25,6 +25,9 @@
 /// A generous bound; only a failing test comes near it.
 constexpr std::chrono::seconds WaitBound{20};
 
+/// Read from a socket at once.
+constexpr std::size_t ReadBytes = 16'384;
+
 /// Runs \p Context until \p Condition holds. \returns whether it did.
 inline bool runUntil(boost::asio::io_context &Context,
                      const std::function<bool()> &Condition) {
@@ -89,7 +92,7 @@
   struct state {
     std::string Received;
     bool Closed = false;
-    std::array<char, 16U * 1024> Buffer{};
+    std::array<char, ReadBytes> Buffer{};
   };
 
   static void read(const std::shared_ptr<tcp::socket> &Socket,
@@ -191,6 +194,19 @@
     Open.clear();
   }
 
+  /// Sends \p Reply on every connection.
+  void answerAll(const std::string &Reply) {
+    for (const auto &Connection : Open) {
+      boost::asio::write(Connection->Socket, boost::asio::buffer(Reply));
+    }
+  }
+  /// Makes the connections of now take input without ever answering.
+  void silenceOpen() {
+    for (const auto &Connection : Open) {
+      Connection->Silent = true;
+    }
+  }
+
   std::vector<std::string> Requests;
   std::size_t Connections = 0;
 
@@ -199,7 +215,8 @@
     explicit connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
     tcp::socket Socket;
     std::string Input;
-    std::array<char, 16U * 1024> Buffer{};
+    bool Silent = false;
+    std::array<char, ReadBytes> Buffer{};
   };
 
   void accept() {
@@ -223,7 +240,7 @@
             return;
           }
           Connection->Input.append(Connection->Buffer.data(), Bytes);
-          if (isWhole(Connection->Input)) {
+          if (!Connection->Silent && isWhole(Connection->Input)) {
             Requests.push_back(std::exchange(Connection->Input, {}));
             play(Connection);
           }
