--- a/programs/crocuswood/replay_command.cpp
+++ b/programs/crocuswood/replay_command.cpp
@@ -71,12 +71,10 @@
   }
 
 private:
-  // The promises together count as one outcome of each trace.
   void count() {
     for (const replay::outcome_result &Outcome : Result.Outcomes) {
       ++(Outcome.Passed ? Passed : Failed);
     }
-    ++(Result.Verdict.Violations.empty() ? Passed : Failed);
   }
 
   void print(const std::string &File) const {
@@ -85,12 +83,8 @@
                   << Outcome.Name << ": expected " << Outcome.Expected
                   << ", seen " << Outcome.Seen << "\n";
     }
-    const checker::verdict &Verdict = Result.Verdict;
-    const bool Kept = Verdict.Violations.empty();
-    Context.Out << (Kept ? "passed  " : "FAILED  ") << File
-                << ": promises: expected 0 violations, seen "
-                << Verdict.Violations.size() << "\n";
-    for (const checker::violation &Violation : Verdict.Violations) {
+    // The verdict itself is one of the outcomes.
+    for (const checker::violation &Violation : Result.Verdict.Violations) {
       Context.Out << "        " << toString(Violation.Rule) << ": "
                   << Violation.Message << "\n";
     }
--- a/tests/command_line/submit_test.cpp
+++ b/tests/command_line/submit_test.cpp
@@ -97,6 +97,13 @@
   CHECK_EQUAL(2, Fixture.run({"check-settings", "other", "s.yaml"}));
 }
 
+TEST(FileChecks, FaultyTracesAreUsage) {
+  Fixture.Files.Contents["t.jsonl"] = "nonsense\n";
+  CHECK_EQUAL(2, Fixture.run({"replay", "t.jsonl", "absent.jsonl"}));
+  CHECK_TRUE(Fixture.complained("t.jsonl:1"));
+  CHECK_TRUE(Fixture.complained("absent.jsonl can't be read."));
+}
+
 TEST(FileChecks, EveryCommandHasHelp) {
   for (const char *Name : {"class", "team", "status", "timeline", "explain",
                            "submit", "replay", "check", "check-settings"}) {
