--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -351,7 +351,9 @@
 }
 
 void job_manager::checkRetries() {
-  for (const task_id &Id : State.Retries.getTasks()) {
+  // A copy: ending a job may take tasks out of the list.
+  const auto Retries = State.Retries.getTasks();
+  for (const task_id &Id : Retries) {
     job *Job = State.Jobs.find(Id.Job);
     if (Job == nullptr || Job->Phase != job_phase::Active) {
       continue;
--- a/packages/entry/src/retry_list.h
+++ b/packages/entry/src/retry_list.h
@@ -20,8 +20,6 @@
   const std::deque<task_id> &getTasks() const { return Tasks; }
   bool isEmpty() const { return Tasks.empty(); }
   std::size_t getCount() const { return Tasks.size(); }
-  /// \returns the tasks, the oldest first.
-  const std::deque<task_id> &getTasks() const { return Tasks; }
 
   /// Earns a part of a retry.
   void notePlacement();
