--- a/tests/wire/session_test.cpp
+++ b/tests/wire/session_test.cpp
@@ -157,8 +157,11 @@
     return !EntryEvents.Opened.empty() && !PeerEvents.Opened.empty();
   }));
   place_task Placement = makePlacement(1);
-  Placement.Input = payload(std::string(15'000'000, 'x'));
-  Entry.send(EntryEvents.Opened.front(), {.Messages = {Placement}});
+  // More than the peer's window and the sockets' buffers take together.
+  Placement.Input = payload(std::string(8'000'000, 'x'));
+  for (int Index = 0; Index < 3; ++Index) {
+    Entry.send(EntryEvents.Opened.front(), {.Messages = {Placement}});
+  }
   bool Drained = false;
   Entry.drain([&Drained] { Drained = true; });
   CHECK_TRUE(runUntil(EntryContext, [&Drained] { return Drained; }));
