Write events faster

Cause: a daemon with a time line file writes several events for each task, and a JSON tree for each took 2.7 us (trial, -O2, 181 bytes a line). Change: plain texts are copied, the library only quotes the others. Seen: 0.6 us a line in the same trial; the tests of the exact text, of all fields parsed back and of invalid UTF-8 pass.

--- a/packages/timeline/src/event_json.cpp
+++ b/packages/timeline/src/event_json.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -11,51 +12,87 @@
 
 namespace {
 
-void setText(nlohmann::ordered_json &Object, const char *Key,
-             const std::string &Value) {
-  if (!Value.empty()) {
-    Object[Key] = Value;
-  }
+// Longer than most lines, so that the text grows once.
+constexpr std::size_t ExpectedLength = 256;
+
+bool isPlain(char Letter) {
+  return Letter >= ' ' && Letter <= '~' && Letter != '"' && Letter != '\\';
 }
 
-void setIds(nlohmann::ordered_json &Object, const timeline_event &Event) {
-  if (Event.Job) {
-    Object["job"] = toString(*Event.Job);
+// Builds one object. A time line has several events for each task, so most
+// texts are copied as they are; the library only quotes the others.
+class line_writer {
+public:
+  line_writer() { Line.reserve(ExpectedLength); }
+
+  void addText(std::string_view Key, std::string_view Value) {
+    addKey(Key);
+    if (!std::all_of(Value.begin(), Value.end(), isPlain)) {
+      // Keys and reasons come from outside and may be no valid UTF-8.
+      Line += nlohmann::json(Value).dump(
+          -1, ' ', false, nlohmann::json::error_handler_t::replace);
+      return;
+    }
+    Line += '"';
+    Line += Value;
+    Line += '"';
   }
-  if (Event.Task) {
-    Object["task"] = *Event.Task;
+  void addSetText(std::string_view Key, std::string_view Value) {
+    if (!Value.empty()) {
+      addText(Key, Value);
+    }
   }
-}
+  template <class Number> void addNumber(std::string_view Key, Number Value) {
+    addKey(Key);
+    Line += std::to_string(Value);
+  }
+  std::string finish() {
+    Line += '}';
+    return std::move(Line);
+  }
+
+private:
+  void addKey(std::string_view Key) {
+    Line += Line.empty() ? "{\"" : ",\"";
+    Line += Key;
+    Line += "\":";
+  }
+
+  std::string Line;
+};
 
 } // namespace
 
 std::string writeJson(const timeline_event &Event) {
-  nlohmann::ordered_json Object;
-  Object["time"] = Event.Time.WallMicroseconds;
+  line_writer Writer;
+  Writer.addNumber("time", Event.Time.WallMicroseconds);
   if (Event.Time.Counter != 0) {
-    Object["counter"] = Event.Time.Counter;
+    Writer.addNumber("counter", Event.Time.Counter);
+  }
+  Writer.addSetText("process", Event.Process.Name);
+  Writer.addText("incarnation", toString(Event.Process.Incarnation));
+  Writer.addText("kind", toString(Event.Kind));
+  if (Event.Job) {
+    Writer.addText("job", toString(*Event.Job));
+  }
+  if (Event.Task) {
+    Writer.addNumber("task", *Event.Task);
   }
-  setText(Object, "process", Event.Process.Name);
-  Object["incarnation"] = toString(Event.Process.Incarnation);
-  Object["kind"] = toString(Event.Kind);
-  setIds(Object, Event);
-  setText(Object, "class", Event.Class);
-  setText(Object, "team", Event.Team);
-  setText(Object, "key", Event.Key);
-  setText(Object, "peer", Event.Peer);
-  setText(Object, "code", Event.Code);
-  setText(Object, "certainty", Event.Certainty);
-  setText(Object, "reason", Event.Reason);
+  Writer.addSetText("class", Event.Class);
+  Writer.addSetText("team", Event.Team);
+  Writer.addSetText("key", Event.Key);
+  Writer.addSetText("peer", Event.Peer);
+  Writer.addSetText("code", Event.Code);
+  Writer.addSetText("certainty", Event.Certainty);
+  Writer.addSetText("reason", Event.Reason);
   if (Event.Digest != 0) {
     // As text: a JSON number of 64 bits does not survive every reader.
-    Object["digest"] = toString(incarnation{Event.Digest});
+    Writer.addText("digest", toString(incarnation{Event.Digest}));
   }
   if (Event.Value != 0) {
-    Object["value"] = Event.Value;
+    Writer.addNumber("value", Event.Value);
   }
-  // Keys and reasons come from outside and may be no valid UTF-8.
-  return Object.dump(-1, ' ', false,
-                     nlohmann::ordered_json::error_handler_t::replace);
+  return Writer.finish();
 }
 
 checked<timeline_event> parseJson(std::string_view Line,
