--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -245,7 +245,6 @@
   }
   dropWaiting(Job);
   if (Event.HolderOutcome) {
-    recordStoredEnd(Job, *Event.HolderOutcome);
     sendAnswer(Job, *Event.HolderOutcome, digest(*Event.HolderOutcome));
     progress(Job);
     return;
@@ -255,20 +254,6 @@
              .Reason = "An earlier attempt with this key may have run."});
 }
 
-void job_manager::recordStoredEnd(const job &Job, const job_outcome &Outcome) {
-  timeline_event Event{.Kind = event_kind::JobCompleted,
-                       .Job = Job.Id,
-                       .Class = State.Classes[Job.Class].Spec.Name,
-                       .Reason = "The outcome was stored under the key.",
-                       .Digest = digest(Outcome)};
-  if (const auto *Failure = std::get_if<job_failure>(&Outcome)) {
-    Event.Kind = event_kind::JobFailed;
-    Event.Code = toString(Failure->Code);
-    Event.Certainty = toString(Failure->Certainty);
-  }
-  State.Sink.record(std::move(Event));
-}
-
 void job_manager::refuseClaim(job &Job, const std::string &Reason) {
   fail(Job, notRun(failure_code::StoreUnavailable, Reason, NotReadyRetry));
 }
@@ -310,16 +295,9 @@
       continue;
     }
     while (job *Job = State.Queue.getAny(Class)) {
-      failWithoutEndpoint(*Job);
-    }
-    // Jobs whose last waiting tasks were given back are not in the queue.
-    const auto Retries = State.Retries.getTasks();
-    for (const task_id &Task : Retries) {
-      job *Job = State.Jobs.find(Task.Job);
-      if (Job != nullptr && Job->Class == Class &&
-          Job->Phase == job_phase::Active) {
-        failWithoutEndpoint(*Job);
-      }
+      fail(*Job, {.Code = failure_code::NoEndpoint,
+                  .Reason = "No endpoint can run class '" +
+                            State.Classes[Class].Spec.Name + "'."});
     }
   }
 }
@@ -351,9 +329,7 @@
 }
 
 void job_manager::checkRetries() {
-  // A copy: ending a job may take tasks out of the list.
-  const auto Retries = State.Retries.getTasks();
-  for (const task_id &Id : Retries) {
+  for (const task_id &Id : State.Retries.getTasks()) {
     job *Job = State.Jobs.find(Id.Job);
     if (Job == nullptr || Job->Phase != job_phase::Active) {
       continue;
@@ -371,12 +347,6 @@
   }
 }
 
-void job_manager::failWithoutEndpoint(job &Job) {
-  fail(Job, {.Code = failure_code::NoEndpoint,
-             .Reason = "No endpoint can run class '" +
-                       State.Classes[Job.Class].Spec.Name + "'."});
-}
-
 void job_manager::expire(job &Job) {
   if (Job.Phase == job_phase::Answered) {
     // The answer to the claim no longer matters.
--- a/tests/entry/load_test.cpp
+++ b/tests/entry/load_test.cpp
@@ -1,9 +1,9 @@
 #include "fake_fleet.h"
 
-#include <algorithm>
-
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace crocuswood;
 using namespace crocuswood::entry;
 
