--- a/packages/entry/src/retry_list.h
+++ b/packages/entry/src/retry_list.h
@@ -17,10 +17,9 @@
   void add(const task_id &Task) { Tasks.push_back(Task); }
   /// Takes out the oldest task.
   task_id take();
+  const std::deque<task_id> &getTasks() const { return Tasks; }
   bool isEmpty() const { return Tasks.empty(); }
   std::size_t getCount() const { return Tasks.size(); }
-  /// \returns the tasks, the oldest first.
-  const std::deque<task_id> &getTasks() const { return Tasks; }
 
   /// Earns a part of a retry.
   void notePlacement();
