--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -19,9 +19,9 @@
 
 core::implementation::implementation(options Given)
     : State(std::move(Given)), Health(State), Admission(State), Claims(State),
-      Jobs(State, Claims, Admission), Ends(State, Jobs, Health),
-      Configurations(State), Links(State, Ends, Configurations, Health),
-      Dispatcher(State, Health) {}
+      Jobs(State, Claims, Admission), Waiting(State, Jobs, Admission),
+      Ends(State, Jobs, Health), Configurations(State),
+      Links(State, Ends, Configurations, Health), Dispatcher(State, Health) {}
 
 void core::implementation::handle(instant Now, event Event,
                                   std::vector<action> &Actions) {
@@ -73,7 +73,8 @@
       static_cast<std::uint32_t>(State.Entries.size()));
   Health.checkTimes();
   Admission.checkTimes();
-  Jobs.checkWaiting();
+  Jobs.checkEndpoints();
+  Waiting.checkTimes();
   State.Teams.setEntries(State.Companions.countEntries(), State.now());
 }
 
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -11,6 +11,7 @@
 #include "job_manager.h"
 #include "link_manager.h"
 #include "task_ends.h"
+#include "waiting_check.h"
 
 #include <crocuswood/entry.h>
 
@@ -41,6 +42,7 @@
   admission Admission;
   claim_manager Claims;
   job_manager Jobs;
+  waiting_check Waiting;
   task_ends Ends;
   configuration_keeper Configurations;
   link_manager Links;
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -302,51 +302,6 @@
   }
 }
 
-void job_manager::checkWaiting() {
-  checkEndpoints();
-  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
-    checkLate(Class);
-  }
-  checkRetries();
-}
-
-void job_manager::checkLate(class_index Class) {
-  const duration Limit = Admission.getLateLimit(Class);
-  while (job *Job = State.Queue.getLateFront(Class)) {
-    if (State.now() - Job->Arrival <= Limit) {
-      return;
-    }
-    if (Job->NextFresh > 0) {
-      // Some tasks have been placed, so the rest must follow.
-      State.Queue.makeUrgent(*Job);
-      continue;
-    }
-    Admission.noteAnswer(Class, true);
-    fail(*Job, {.Code = failure_code::Overloaded,
-                .Reason = "The job waited too long under load.",
-                .RetryAfter = Limit});
-  }
-}
-
-void job_manager::checkRetries() {
-  for (const task_id &Id : State.Retries.getTasks()) {
-    job *Job = State.Jobs.find(Id.Job);
-    if (Job == nullptr || Job->Phase != job_phase::Active) {
-      continue;
-    }
-    const task &Task = Job->Tasks[Id.Index];
-    if (Task.State != task_state::Waiting ||
-        State.now() - Task.PlacedAt <= EndpointGrace ||
-        State.Companions.hasUntried(*Job, Id.Index)) {
-      continue;
-    }
-    fail(*Job, {.Code = failure_code::NoEndpoint,
-                .Reason = "Every endpoint gave the task back.",
-                .RetryAfter = EndpointGrace,
-                .Task = Id.Index});
-  }
-}
-
 void job_manager::expire(job &Job) {
   if (Job.Phase == job_phase::Answered) {
     // The answer to the claim no longer matters.
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -23,9 +23,8 @@
   void takeClaim(const claim_answered &Event);
   /// Handles jobs whose deadline or other time limit has passed.
   void expireTimers();
-  /// Fails the waiting jobs that no endpoint can run, and those taken as late
-  /// that have waited too long.
-  void checkWaiting();
+  /// Fails the waiting jobs of classes that no endpoint can run.
+  void checkEndpoints();
 
   /// Fails \p Job for its first reason and withdraws what can be withdrawn.
   void fail(job &Job, job_failure Failure);
@@ -38,9 +37,6 @@
   std::optional<job_failure> findFault(const job_request &Request) const;
   std::optional<job_failure> findOverload(const job_request &Request);
   bool hasNoEndpoint(class_index Class) const;
-  void checkEndpoints();
-  void checkLate(class_index Class);
-  void checkRetries();
   void refuse(const job_id &Id, request_id Request, const job_request &Job,
               job_failure Failure);
   job &accept(const job_id &Id, job_submitted Event, std::uint64_t Digest);
--- /dev/null
+++ b/packages/entry/src/waiting_check.cpp
@@ -0,0 +1,56 @@
+#include "waiting_check.h"
+
+namespace crocuswood::entry {
+
+namespace {
+
+// How long a task that was given back waits for another companion.
+constexpr duration RetryGrace = std::chrono::seconds(2);
+
+} // namespace
+
+void waiting_check::checkTimes() {
+  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+    checkLate(Class);
+  }
+  checkRetries();
+}
+
+void waiting_check::checkLate(class_index Class) {
+  const duration Limit = Admission.getLateLimit(Class);
+  while (job *Job = State.Queue.getLateFront(Class)) {
+    if (State.now() - Job->Arrival <= Limit) {
+      return;
+    }
+    if (Job->NextFresh > 0) {
+      // Some tasks have been placed, so the rest must follow.
+      State.Queue.makeUrgent(*Job);
+      continue;
+    }
+    Admission.noteAnswer(Class, true);
+    Jobs.fail(*Job, {.Code = failure_code::Overloaded,
+                     .Reason = "The job waited too long under load.",
+                     .RetryAfter = Limit});
+  }
+}
+
+void waiting_check::checkRetries() {
+  for (const task_id &Id : State.Retries.getTasks()) {
+    job *Job = State.Jobs.find(Id.Job);
+    if (Job == nullptr || Job->Phase != job_phase::Active) {
+      continue;
+    }
+    const task &Task = Job->Tasks[Id.Index];
+    if (Task.State != task_state::Waiting ||
+        State.now() - Task.PlacedAt <= RetryGrace ||
+        State.Companions.hasUntried(*Job, Id.Index)) {
+      continue;
+    }
+    Jobs.fail(*Job, {.Code = failure_code::NoEndpoint,
+                     .Reason = "Every endpoint gave the task back.",
+                     .RetryAfter = RetryGrace,
+                     .Task = Id.Index});
+  }
+}
+
+} // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/waiting_check.h
@@ -0,0 +1,29 @@
+/// \file
+/// Ends jobs that would wait without end.
+#pragma once
+
+#include "admission.h"
+#include "entry_state.h"
+#include "job_manager.h"
+
+namespace crocuswood::entry {
+
+/// Fails jobs taken as late that have waited too long, and jobs with a task
+/// that every companion has given back.
+class waiting_check {
+public:
+  waiting_check(entry_state &State, job_manager &Jobs, admission &Admission)
+      : State(State), Jobs(Jobs), Admission(Admission) {}
+
+  void checkTimes();
+
+private:
+  void checkLate(class_index Class);
+  void checkRetries();
+
+  entry_state &State;
+  job_manager &Jobs;
+  admission &Admission;
+};
+
+} // namespace crocuswood::entry
