--- a/tests/entry/load_test.cpp
+++ b/tests/entry/load_test.cpp
@@ -1,9 +1,9 @@
 #include "fake_fleet.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace crocuswood;
 using namespace crocuswood::entry;
 
