Probe a companion again after a probe could not reach its endpoint

Cause: a probe that was given back as unreachable left its companion in the state of waiting for that probe, for ever, so a companion that was the only one took no work after its endpoint was well again, and the entry's planned stop hung. Ruled out: the companion and the retry list; the task had been given back and was waiting.

--- a/packages/entry/src/health.cpp
+++ b/packages/entry/src/health.cpp
@@ -160,13 +160,10 @@
                      .Completed = false,
                      .PlacedAt = PlacedAt,
                      .EndedAt = State.now()});
-  standing &Standing = standingAt(Companion, Class);
-  if (Standing.Trust == trust::Probed) {
-    Standing.ProbeDelay = std::min(Standing.ProbeDelay * 2, MaxProbeDelay);
-    setAsideClass(Standing);
-    applyLimits(Companion);
+  if (endsProbe(Companion, Class)) {
     return;
   }
+  standing &Standing = standingAt(Companion, Class);
   const suspect Suspect{.Companion = Companion, .Class = Class};
   const bool IsAlone = State.Companions.countRunners(Class) < 2;
   if (historyOf(Class).FailsEverywhere || IsAlone ||
@@ -190,7 +187,21 @@
   judgeSuspects(Class);
 }
 
+bool health::endsProbe(companion_index Companion, class_index Class) {
+  standing &Standing = standingAt(Companion, Class);
+  if (Standing.Trust != trust::Probed) {
+    return false;
+  }
+  Standing.ProbeDelay = std::min(Standing.ProbeDelay * 2, MaxProbeDelay);
+  setAsideClass(Standing);
+  applyLimits(Companion);
+  return true;
+}
+
 void health::noteUnreachable(companion_index Companion, class_index Class) {
+  if (endsProbe(Companion, Class)) {
+    return;
+  }
   const suspect Suspect{.Companion = Companion, .Class = Class};
   if (!memberAt(Companion).AllSetAside) {
     memberAt(Companion).CompletedPlacement = instant{};
--- a/packages/entry/src/health.h
+++ b/packages/entry/src/health.h
@@ -91,6 +91,8 @@
   standing &standingAt(companion_index Companion, class_index Class);
   history &historyOf(class_index Class);
   std::uint32_t exposureLimit() const;
+  /// Takes the failure of a probe. \returns whether the task was one.
+  bool endsProbe(companion_index Companion, class_index Class);
   void addOutcome(class_index Class, const outcome &Outcome);
   comparison compare(const suspect &Suspect);
   void judge(const suspect &Suspect);
