--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocuswood::entry {
 
@@ -19,6 +20,13 @@
 // Classes with fewer jobs in the window do not move the tolerances.
 constexpr std::uint32_t EnoughJobs = 20;
 
+// Part of the time left that a wait may take while no overload lasts.
+constexpr double CalmTolerance = 1;
+// An overload lasts when waits have been too long for this time.
+constexpr duration OverloadTime = std::chrono::seconds(3);
+// Patience is back after this time without long waits.
+constexpr duration RecoveryTime = std::chrono::seconds(1);
+
 double seconds(duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -71,12 +79,12 @@
          static_cast<std::int64_t>(Slots);
 }
 
-duration admission::longestWait(class_index Class) {
+duration admission::longestWait(class_index Class, double Tolerance) {
   const work_class &Work = State.Classes[Class];
   const duration Target = Work.Spec.AnswerWithin;
   const duration Left = Target - Work.expect(std::nullopt);
   return fromSeconds(seconds(std::max(Left, Target / LeastWaitDivisor)) *
-                     windowOf(Class).Tolerance);
+                     Tolerance);
 }
 
 // Decisions.
@@ -101,7 +109,8 @@
   ++currentPart(Window).Submitted;
   ++Window.Sum.Submitted;
   const duration Wait = expectedWait(Class);
-  if (Wait <= longestWait(Class)) {
+  const double Tolerance = std::lerp(Window.Tolerance, CalmTolerance, Patience);
+  if (Wait <= longestWait(Class, Tolerance)) {
     return admission_kind::OnTime;
   }
   const duration Late = Wait + lateWait(Class);
@@ -151,6 +160,18 @@
   }
 }
 
+void admission::judgeOverload() {
+  bool IsLong = false;
+  for (class_index Class = 0; Class < Windows.size(); ++Class) {
+    IsLong = IsLong || expectedWait(Class) > longestWait(Class, MaxTolerance);
+  }
+  const double Passed = seconds(State.now() - JudgedAt);
+  JudgedAt = State.now();
+  const double Change =
+      IsLong ? -Passed / seconds(OverloadTime) : Passed / seconds(RecoveryTime);
+  Patience = std::clamp(Patience + Change, 0.0, 1.0);
+}
+
 void admission::checkTimes() {
   QueuedRunTime = duration{};
   for (const auto &[Name, Index] : State.Companions.getNames()) {
@@ -159,6 +180,7 @@
   for (class_index Class = 0; Class < Windows.size(); ++Class) {
     Windows[Class].Slots = State.Companions.countSlots(Class);
   }
+  judgeOverload();
   balanceTolerances();
   if (State.now() < PartEnds) {
     return;
--- a/packages/entry/src/admission.h
+++ b/packages/entry/src/admission.h
@@ -20,10 +20,11 @@
 
 /// Compares the expected wait of a job with its target.
 ///
-/// A job that would miss its target is refused as long as its class may refuse
-/// more. After that it is taken as late, so that it does not make the jobs
-/// behind it miss their targets, too. When the late jobs alone would take far
-/// too long, all that would be late are refused.
+/// Short waits even out by themselves, so a job is judged strictly only in an
+/// overload that lasts. Then a job that would miss its target is refused as
+/// long as its class may refuse more. After that it is taken as late, so that
+/// it does not make the jobs behind it miss their targets, too. When the late
+/// jobs alone would take far too long, all that would be late are refused.
 class admission {
 public:
   explicit admission(entry_state &State) : State(State) {}
@@ -56,17 +57,21 @@
   counts &currentPart(window &Window);
   duration expectedWait(class_index Class);
   duration lateWait(class_index Class);
-  duration longestWait(class_index Class);
+  duration longestWait(class_index Class, double Tolerance);
   bool mayRefuse(const window &Window, class_index Class) const;
   job_failure refuse(class_index Class, duration Wait);
   double pressureOf(class_index Class);
   void balanceTolerances();
+  void judgeOverload();
 
   entry_state &State;
   std::vector<window> Windows;
   std::size_t Part = 0;
   instant PartEnds;
   duration QueuedRunTime{}; ///< On all companions together.
+  /// 1 while no overload lasts, 0 in an overload that has lasted.
+  double Patience = 1;
+  instant JudgedAt;
 };
 
 } // namespace crocuswood::entry
