--- a/packages/platform/include/crocuswood/platform.h
+++ b/packages/platform/include/crocuswood/platform.h
@@ -182,10 +182,10 @@
   configuration_store(table_service &Table, read Read);
 
   void poll();
-  void change(config::change Change, ended Ended);
+  void change(config::change Change, const ended &Ended);
 
 private:
-  void carryOut(std::shared_ptr<config::change_runner> Runner,
+  void carryOut(const std::shared_ptr<config::change_runner> &Runner,
                 const config::change_step &Step, const ended &Ended);
   void readHead(std::function<void(config::change_event)> Done);
 
--- a/packages/platform/src/claim_writer.cpp
+++ b/packages/platform/src/claim_writer.cpp
@@ -117,6 +117,7 @@
 void claim_writer::sendGroup(std::vector<pending_ask> Group,
                              std::vector<pending_settlement> Settling) {
   std::vector<row_write> Writes;
+  Writes.reserve(Group.size() + Settling.size());
   for (const pending_ask &Ask : Group) {
     Writes.push_back(makeInsertion(Ask.Claim));
   }
--- a/packages/platform/src/configuration_store.cpp
+++ b/packages/platform/src/configuration_store.cpp
@@ -54,13 +54,13 @@
   });
 }
 
-void configuration_store::change(config::change Change, ended Ended) {
+void configuration_store::change(config::change Change, const ended &Ended) {
   auto Runner = std::make_shared<config::change_runner>(std::move(Change));
   carryOut(Runner, Runner->start(), Ended);
 }
 
 void configuration_store::carryOut(
-    std::shared_ptr<config::change_runner> Runner,
+    const std::shared_ptr<config::change_runner> &Runner,
     const config::change_step &Step, const ended &Ended) {
   const auto Continue = [this, Runner,
                          Ended](const config::change_event &Event) {
--- a/programs/crocuswoodd/outbox.h
+++ b/programs/crocuswoodd/outbox.h
@@ -17,10 +17,8 @@
   explicit outbox(rings::ring<Item> &Ring) : Ring(Ring) {}
 
   void push(Item Value) {
-    if (Waiting.empty() && Ring.tryPush(std::move(Value))) {
-      return;
-    }
     Waiting.push_back(std::move(Value));
+    flush();
   }
 
   /// \returns whether nothing waits any more.
--- a/programs/crocuswoodd/platform_duty.cpp
+++ b/programs/crocuswoodd/platform_duty.cpp
@@ -30,6 +30,7 @@
 std::vector<peer_address>
 getLinkAddresses(const std::vector<platform::entry_row> &Entries) {
   std::vector<peer_address> Addresses;
+  Addresses.reserve(Entries.size());
   for (const platform::entry_row &Entry : Entries) {
     Addresses.push_back(Entry.Links);
   }
--- a/tests/platform/fake_table.h
+++ b/tests/platform/fake_table.h
@@ -52,6 +52,7 @@
              std::function<void(std::vector<write_outcome>)> Done) override {
     ++Requests;
     std::vector<write_outcome> Outcomes;
+    Outcomes.reserve(Writes.size());
     for (const row_write &Write : Writes) {
       Outcomes.push_back(writeOne(Write));
     }
