--- a/scripts/run_ctest.sh
+++ b/scripts/run_ctest.sh
@@ -4,7 +4,9 @@
 cd "$(dirname "$0")/.."
 
 BUILD="${1:-build}"
-shift || true
+if [ "$#" -gt 0 ]; then
+  shift
+fi
 KNOWN=()
 if [ -e KNOWN-RED.txt ]; then
   mapfile -t KNOWN < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
