Say that a change refused for want of room certainly had no effect

Cause: the answer lacked the field certain, so the command line called the change uncertain. Seen: it compiles with optimization, the linter is clean on it, and the demo passes; the full ring itself was not brought about.

--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -357,7 +357,10 @@
   }
   if (!Changes->ToPlatform.tryPush(
           change_asked{.Request = Id, .Change = std::move(Change)})) {
-    Respond(makeError(503, "unavailable", "Too many changes are waiting."));
+    const json Body = {{"error", "unavailable"},
+                       {"message", "Too many changes are waiting."},
+                       {"certain", true}};
+    Respond({.Status = 503, .Body = Body.dump()});
     return;
   }
   WaitingChanges[Id] = Respond;
