--- /dev/null
+++ b/packages/companion/src/core_implementation.cpp
@@ -0,0 +1,437 @@
+#include "core_implementation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::companion {
+
+void core::implementation::on(const step &Step, const link_opened &Event) {
+  link_state *Link = Links.find(Event.Link);
+  if (Link == nullptr) {
+    return;
+  }
+  Link->Opened = true;
+  Link->LastHeard = Step.Now;
+  Link->Unsent.emplace_back(
+      companion_hello{.Companion = Options.Self,
+                      .Zone = Options.Zone,
+                      .Operators = Options.Operators,
+                      .ConfigurationRevision = Configuration.Revision,
+                      .Endpoint = Endpoint.getReport(),
+                      .Load = Desk.refreshLoad()});
+}
+
+void core::implementation::on(const step &Step, envelope_received &Event) {
+  for (peer_message &Message : Event.Messages) {
+    // A message may close the link; nothing after it counts then.
+    link_state *Link = Links.find(Event.Link);
+    if (Link == nullptr) {
+      return;
+    }
+    Link->LastHeard = Step.Now;
+    receive(Step, *Link, Message);
+  }
+}
+
+void core::implementation::receive(const step &Step, link_state &Link,
+                                   peer_message &Message) {
+  if (const auto *Hello = std::get_if<entry_hello>(&Message)) {
+    receiveHello(Step, Link, *Hello);
+    return;
+  }
+  if (!Link.Entry) {
+    Links.close(Step, Link.Id, "the first message was not a hello",
+                Links.drawPause());
+    return;
+  }
+  take(Step, *Entries.find(*Link.Entry), Message);
+}
+
+void core::implementation::receiveHello(const step &Step, link_state &Link,
+                                        const entry_hello &Hello) {
+  if (Hello.Version != PeerProtocolVersion || Link.Entry) {
+    detach(Step, Link, "the hello was out of place or of another version");
+    Links.close(Step, Link.Id, "unsuitable hello", Links.drawPause());
+    return;
+  }
+  Links.addKnown(Hello.KnownEntries);
+  replaceNamesake(Step, Hello.Entry);
+  entry_peer *Peer = Entries.admit(Hello.Entry);
+  if (Peer == nullptr) {
+    Links.close(Step, Link.Id, "the tasks of this entry are forgotten",
+                Links.drawPause());
+    return;
+  }
+  if (Peer->Link && Links.isBootstrapOnly(Link.Address)) {
+    Links.close(Step, Link.Id, "the entry is linked already",
+                Links.drawPause());
+    return;
+  }
+  attach(Step, Link, *Peer);
+  noteRevision(*Peer, Hello.ConfigurationRevision);
+}
+
+void core::implementation::attach(const step &Step, link_state &Link,
+                                  entry_peer &Peer) {
+  if (Peer.Link) {
+    const link_state *Older = Links.find(*Peer.Link);
+    const peer_address OlderAddress = Older->Address;
+    detach(Step, *Older, "a newer link to the same entry opened");
+    Links.close(Step, Older->Id, "a newer link to the same entry opened",
+                Links.drawPause());
+    Links.noteAlias(OlderAddress, Peer.Id.Incarnation);
+  }
+  Link.Entry = Peer.Id.Incarnation;
+  Peer.Link = Link.Id;
+  Peer.Address = Link.Address;
+  Peer.Gone = false;
+  Peer.PushedRevision = 0;
+  Peer.LeavingSeen = false;
+  Peer.ResendEnds = true;
+  Step.record(makeEvent(event_kind::LinkOpened, Peer.Id.Name));
+}
+
+void core::implementation::detach(const step &Step, const link_state &Link,
+                                  const std::string &Reason) {
+  if (!Link.Entry) {
+    return;
+  }
+  entry_peer &Peer = *Entries.find(*Link.Entry);
+  Peer.Link.reset();
+  Peer.LinklessSince = Step.Now;
+  timeline_event Event = makeEvent(event_kind::LinkClosed, Peer.Id.Name);
+  Event.Reason = Reason;
+  Step.record(std::move(Event));
+}
+
+void core::implementation::replaceNamesake(const step &Step,
+                                           const process_id &Id) {
+  for (auto &[Known, Peer] : Entries.getPeers()) {
+    if (Peer.Id.Name != Id.Name || Known == Id.Incarnation || Peer.Gone) {
+      continue;
+    }
+    Step.record(makeEvent(event_kind::PeerReplaced, Id.Name));
+    if (Peer.Link) {
+      const link_id Old = *Peer.Link;
+      detach(Step, *Links.find(Old),
+             "a new incarnation has replaced the entry");
+      Links.close(Step, Old, "replaced", Links.drawPause());
+    }
+    dropEntry(Step, Peer);
+  }
+}
+
+void core::implementation::dropEntry(const step &Step, entry_peer &Peer) {
+  Peer.Gone = true;
+  Desk.dropEntry(Step, Peer);
+}
+
+void core::implementation::take(const step &Step, entry_peer &Peer,
+                                peer_message &Message) {
+  if (auto *Placement = std::get_if<place_task>(&Message)) {
+    if (Placement->Task.Job.Entry != Peer.Id.Incarnation) {
+      const link_id Link = *Peer.Link;
+      detach(Step, *Links.find(Link), "it placed another entry's task");
+      Links.close(Step, Link, "another entry's task", Links.drawPause());
+      return;
+    }
+    Desk.place(Step, Peer, std::move(*Placement));
+  } else if (const auto *Withdrawal = std::get_if<withdraw_tasks>(&Message)) {
+    Desk.withdraw(Step, Peer, *Withdrawal);
+  } else if (const auto *Ends = std::get_if<acknowledge_ends>(&Message)) {
+    Desk.acknowledge(Peer, *Ends);
+  } else if (const auto *Request = std::get_if<resume_request>(&Message)) {
+    Desk.resume(Step, Peer, *Request);
+  } else if (const auto *Beat = std::get_if<entry_heartbeat>(&Message)) {
+    noteRevision(Peer, Beat->ConfigurationRevision);
+    Peer.Stopping = Beat->Stopping;
+    Peer.LeavingSeen = Beat->LeavingSeen;
+  } else if (const auto *List = std::get_if<entry_list>(&Message)) {
+    Links.addKnown(List->Entries);
+  } else if (auto *Push = std::get_if<configuration_push>(&Message)) {
+    Peer.Revision = std::max(Peer.Revision, Push->Configuration.Revision);
+    adopt(Step, std::move(Push->Configuration));
+  }
+}
+
+void core::implementation::on(const step &Step, const link_closed &Event) {
+  if (const link_state *Link = Links.find(Event.Link)) {
+    detach(Step, *Link, Event.Reason);
+    Links.forget(Step.Now, Event.Link);
+  }
+}
+
+void core::implementation::on(const step & /*Step*/,
+                              const entries_read &Event) {
+  Links.setListed(Event.Entries);
+}
+
+void core::implementation::on(const step &Step, configuration_read &Event) {
+  adopt(Step, std::move(Event.Configuration));
+}
+
+void core::implementation::adopt(const step &Step, configuration Value) {
+  timeline_event Event;
+  Event.Value = static_cast<std::int64_t>(Value.Revision);
+  if (Value.Revision <= Configuration.Revision) {
+    if (Value.Revision < Configuration.Revision) {
+      Event.Kind = event_kind::ConfigurationIgnored;
+      Step.record(std::move(Event));
+    }
+    return;
+  }
+  Configuration = std::move(Value);
+  Event.Kind = event_kind::ConfigurationInForce;
+  Step.record(std::move(Event));
+}
+
+void core::implementation::noteRevision(entry_peer &Peer,
+                                        std::uint64_t Revision) {
+  Peer.Revision = std::max(Peer.Revision, Revision);
+  pushConfiguration(Peer);
+}
+
+void core::implementation::pushConfiguration(entry_peer &Peer) {
+  if (!Peer.Link || Peer.Revision >= Configuration.Revision ||
+      Peer.PushedRevision >= Configuration.Revision) {
+    return;
+  }
+  Peer.PushedRevision = Configuration.Revision;
+  Links.find(*Peer.Link)
+      ->Unsent.emplace_back(configuration_push{.Configuration = Configuration});
+}
+
+void core::implementation::on(const step &Step,
+                              const endpoint_announced &Event) {
+  if (Endpoint.announce(Step, Event.Announcement)) {
+    reportEndpoint(Step, not_started_reason::Leaving);
+  }
+}
+
+void core::implementation::reportEndpoint(const step &Step,
+                                          not_started_reason Reason) {
+  for (auto &[Id, Peer] : Entries.getPeers()) {
+    // What was confirmed was an earlier report.
+    Peer.LeavingSeen = false;
+  }
+  const endpoint_report Report = Endpoint.getReport();
+  broadcast(Report);
+  if (Report.State != endpoint_state::Serving) {
+    Desk.giveBackQueued(Step, Reason);
+  }
+}
+
+void core::implementation::broadcast(const peer_message &Message) {
+  for (auto &[Id, Link] : Links.getLinks()) {
+    if (Link.Opened) {
+      Link.Unsent.push_back(Message);
+    }
+  }
+}
+
+void core::implementation::on(const step &Step, run_completed &Event) {
+  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
+    return task_completed{.Output = std::move(Event.Output),
+                          .RunTime = RunTime};
+  });
+  reportFreeSlot(Event.Task.Job.Entry);
+}
+
+void core::implementation::on(const step &Step, run_failed &Event) {
+  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
+    return task_failed{.Reason = std::move(Event.Reason), .RunTime = RunTime};
+  });
+  reportFreeSlot(Event.Task.Job.Entry);
+}
+
+void core::implementation::on(const step &Step, const run_not_reached &Event) {
+  Desk.endRun(Step, Event.Task, [](duration /*RunTime*/) {
+    return task_not_started{.Reason = not_started_reason::Unreachable};
+  });
+  if (Endpoint.suspend(Step, Event.Reason)) {
+    reportEndpoint(Step, not_started_reason::Unreachable);
+  }
+}
+
+void core::implementation::on(const step &Step, run_lost &Event) {
+  Desk.endRun(Step, Event.Task, [&Event](duration /*RunTime*/) {
+    return task_lost{.Reason = std::move(Event.Reason)};
+  });
+  reportFreeSlot(Event.Task.Job.Entry);
+}
+
+void core::implementation::reportFreeSlot(incarnation Ended) {
+  const companion_load Load = Desk.refreshLoad();
+  if (!Desk.hasFreeSlot() || Load.Queued != 0) {
+    return;
+  }
+  auto &Peers = Entries.getPeers();
+  const auto Wants = [Ended](const auto &Item) {
+    return Item.second.Backlog > 0 && Item.second.Link && Item.first != Ended;
+  };
+  const auto EndedPeer = Peers.find(Ended);
+  if (EndedPeer != Peers.end() && EndedPeer->second.Backlog > 0) {
+    // The end itself tells this entry of the free slot.
+    return;
+  }
+  auto Next = std::find_if(Peers.upper_bound(LastReported), Peers.end(), Wants);
+  if (Next == Peers.end()) {
+    Next = std::find_if(Peers.begin(), Peers.end(), Wants);
+  }
+  if (Next == Peers.end()) {
+    return;
+  }
+  LastReported = Next->first;
+  // A placement in reply tells of a backlog that goes on.
+  Next->second.Backlog = 0;
+  Links.find(*Next->second.Link)
+      ->Unsent.emplace_back(load_report{.Load = Load});
+}
+
+void core::implementation::on(const step &Step,
+                              const timer_expired & /*Event*/) {
+  Wake.reset();
+  closeSilentLinks(Step);
+  dropLostEntries(Step);
+  if (Endpoint.checkSilence(Step)) {
+    reportEndpoint(Step, not_started_reason::Leaving);
+  }
+  addHeartbeats(Step);
+}
+
+void core::implementation::closeSilentLinks(const step &Step) {
+  for (const link_id Id : Links.listSilent(Step.Now)) {
+    const link_state &Link = *Links.find(Id);
+    if (Link.Entry) {
+      Step.record(makeEvent(event_kind::LinkSilent,
+                            Entries.find(*Link.Entry)->Id.Name));
+    }
+    detach(Step, Link, "the link fell silent");
+    Links.close(Step, Id, "the link fell silent", duration::zero());
+  }
+}
+
+void core::implementation::dropLostEntries(const step &Step) {
+  for (auto &[Id, Peer] : Entries.getPeers()) {
+    if (!Peer.Gone && !Peer.Link &&
+        Step.Now - Peer.LinklessSince >= Options.EntryLossLimit) {
+      dropEntry(Step, Peer);
+    }
+  }
+}
+
+void core::implementation::addHeartbeats(const step &Step) {
+  for (const link_id Id : Links.listIdle(Step.Now)) {
+    Links.find(Id)->Unsent.emplace_back(
+        companion_heartbeat{.ConfigurationRevision = Configuration.Revision,
+                            .Load = Desk.refreshLoad(),
+                            .Entries = Links.countLinked()});
+  }
+}
+
+void core::implementation::on(const step &Step,
+                              const stop_requested & /*Event*/) {
+  if (Stopping) {
+    return;
+  }
+  Stopping = true;
+  LastRunEnd = Step.Now;
+  if (Endpoint.leave()) {
+    reportEndpoint(Step, not_started_reason::Leaving);
+  }
+}
+
+void core::implementation::finishEvent(const step &Step) {
+  Desk.startTasks(Step);
+  if (Stopping && !Desk.isIdle()) {
+    LastRunEnd = Step.Now;
+  }
+  Links.dialDue(Step);
+  const auto Next = findNextWake();
+  if (Next && (!Wake || *Next < *Wake)) {
+    Wake = Next;
+    Step.Actions.emplace_back(wake_at{.At = *Next});
+  }
+}
+
+std::optional<instant> core::implementation::findNextWake() const {
+  std::optional<instant> Next = Links.getNextWake();
+  const auto Consider = [&Next](std::optional<instant> At) {
+    if (At) {
+      Next = Next ? std::min(*Next, *At) : At;
+    }
+  };
+  Consider(Endpoint.getNextWake());
+  Consider(Desk.getNextWake());
+  for (const auto &[Id, Peer] : Entries.getPeers()) {
+    if (!Peer.Gone && !Peer.Link) {
+      Consider(Peer.LinklessSince + Options.EntryLossLimit);
+    }
+  }
+  if (Stopping && !StopFinished) {
+    Consider(LastRunEnd + Options.EntryLossLimit);
+  }
+  return Next;
+}
+
+void core::implementation::flush(const step &Step) {
+  for (auto &[Id, Peer] : Entries.getPeers()) {
+    if (Peer.Link && Peer.ResendEnds) {
+      Desk.resendEnds(Peer);
+    }
+    pushConfiguration(Peer);
+  }
+  const companion_load Load = Desk.refreshLoad();
+  for (auto &[Id, Link] : Links.getLinks()) {
+    if (Link.Unsent.empty()) {
+      continue;
+    }
+    for (peer_message &Message : Link.Unsent) {
+      if (auto *Ended = std::get_if<task_ended>(&Message)) {
+        Ended->Load = Load;
+      }
+    }
+    Link.LastSent = Step.Now;
+    Step.Actions.emplace_back(
+        send_messages{.Link = Id, .Messages = std::exchange(Link.Unsent, {})});
+  }
+  if (isFinished(Step.Now)) {
+    StopFinished = true;
+    Step.Actions.emplace_back(stop_finished{});
+  }
+}
+
+bool core::implementation::isFinished(instant Now) const {
+  if (!Stopping || StopFinished || !Desk.isIdle()) {
+    return false;
+  }
+  if (Now - LastRunEnd >= Options.EntryLossLimit) {
+    return true;
+  }
+  return Entries.countRetained() == 0 && Entries.haveSeenLeaving();
+}
+
+status core::implementation::getStatus() const {
+  status Status{.Stopping = Stopping,
+                .ConfigurationRevision = Configuration.Revision,
+                .EndpointName = Endpoint.getName(),
+                .Endpoint = Endpoint.getReport(),
+                .Load = Desk.getLoad(),
+                .Started = Desk.getStarted(),
+                .Retained = Entries.countRetained(),
+                .RetainedBytes = Entries.countRetainedBytes()};
+  for (const auto &[Id, Peer] : Entries.getPeers()) {
+    if (Peer.Gone) {
+      continue;
+    }
+    const auto [Queued, Running] = Desk.countTasks(Id);
+    Status.Entries.push_back(entry_status{.Name = Peer.Id.Name,
+                                          .Address = Peer.Address,
+                                          .Linked = Peer.Link.has_value(),
+                                          .Queued = Queued,
+                                          .Running = Running});
+  }
+  return Status;
+}
+
+} // namespace crocuswood::companion
--- /dev/null
+++ b/packages/companion/src/core_implementation.h
@@ -0,0 +1,79 @@
+/// \file
+/// What is behind companion::core: takes events and gathers what is to be sent.
+#pragma once
+
+#include "endpoint_monitor.h"
+#include "entry_links.h"
+#include "entry_registry.h"
+#include "step.h"
+#include "task_desk.h"
+
+#include <crocuswood/companion.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace crocuswood::companion {
+
+/// Joins links, entries, endpoint and tasks; one on() for each event.
+class core::implementation {
+public:
+  explicit implementation(options Options)
+      : Options(std::move(Options)), Links(this->Options),
+        Endpoint(this->Options.AnnouncementLimit),
+        Desk(this->Options, Configuration, Entries, Links, Endpoint) {}
+
+  void on(const step &Step, const link_opened &Event);
+  void on(const step &Step, envelope_received &Event);
+  void on(const step &Step, const link_closed &Event);
+  void on(const step &Step, const entries_read &Event);
+  void on(const step &Step, configuration_read &Event);
+  void on(const step &Step, const endpoint_announced &Event);
+  void on(const step &Step, run_completed &Event);
+  void on(const step &Step, run_failed &Event);
+  void on(const step &Step, const run_not_reached &Event);
+  void on(const step &Step, run_lost &Event);
+  void on(const step &Step, const timer_expired &Event);
+  void on(const step &Step, const stop_requested &Event);
+  void finishEvent(const step &Step);
+  void flush(const step &Step);
+  status getStatus() const;
+  const configuration &getConfiguration() const { return Configuration; }
+
+private:
+  void receive(const step &Step, link_state &Link, peer_message &Message);
+  void receiveHello(const step &Step, link_state &Link,
+                    const entry_hello &Hello);
+  void take(const step &Step, entry_peer &Peer, peer_message &Message);
+  void attach(const step &Step, link_state &Link, entry_peer &Peer);
+  void detach(const step &Step, const link_state &Link,
+              const std::string &Reason);
+  void replaceNamesake(const step &Step, const process_id &Id);
+  void dropEntry(const step &Step, entry_peer &Peer);
+  void adopt(const step &Step, configuration Value);
+  void noteRevision(entry_peer &Peer, std::uint64_t Revision);
+  void pushConfiguration(entry_peer &Peer);
+  void broadcast(const peer_message &Message);
+  void reportEndpoint(const step &Step, not_started_reason Reason);
+  void reportFreeSlot(incarnation Ended);
+  void closeSilentLinks(const step &Step);
+  void dropLostEntries(const step &Step);
+  void addHeartbeats(const step &Step);
+  bool isFinished(instant Now) const;
+  std::optional<instant> findNextWake() const;
+
+  const options Options;
+  configuration Configuration;
+  entry_links Links;
+  entry_registry Entries;
+  endpoint_monitor Endpoint;
+  task_desk Desk;
+  std::optional<instant> Wake;
+  incarnation LastReported{};
+  bool Stopping = false;
+  bool StopFinished = false;
+  instant LastRunEnd; ///< While stopping: when the last task ended.
+};
+
+} // namespace crocuswood::companion
