--- a/benchmarks/http/caller_front_benchmark.cpp
+++ b/benchmarks/http/caller_front_benchmark.cpp
@@ -24,7 +24,7 @@
 using clock_type = std::chrono::steady_clock;
 
 /// Answers every job with its own inputs, within the submission.
-class echoing_events : public http::caller_events {
+class echoing_events : public caller_events {
 public:
   bool jobSubmitted(request_id Request, job_request Job) override {
     job_results Results;
--- a/packages/checker/src/stop_judge.cpp
+++ b/packages/checker/src/stop_judge.cpp
@@ -53,7 +53,8 @@
       return true; // It had not reached the endpoint and was given back.
     }
     const auto Ends = tasksOf(Started).getAll(
-        {event_kind::TaskEnded, event_kind::TaskFailed, event_kind::TaskLost});
+        {event_kind::TaskEnded, event_kind::TaskFailed, event_kind::TaskLost,
+         event_kind::TaskStopped});
     return std::any_of(
         Ends.begin(), Ends.end(),
         [&](const timeline_event *End) { return End->Process == Process; });
--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -37,6 +37,12 @@
   duration AnnouncementLimit =
       std::chrono::seconds(3); ///< An endpoint silent for longer is
                                ///< absent.
+  /// How long tasks of an entry may run and start after it last vouched for
+  /// them; 0 means that they need no such lease.
+  duration EntryLease{};
+  /// Whether the companion dials entries only after endpoint_settled, so that
+  /// its first hello proves that no run of an earlier life goes on.
+  bool AwaitEndpoint = false;
   std::uint32_t MaxQueuedTasks = 1'024;
   std::uint64_t MaxRetainedBytes =
       32ULL * 1024 * 1024; ///< Ends kept until acknowledged. Beyond
@@ -46,6 +52,7 @@
 /// What an endpoint says of itself, again and again.
 struct endpoint_announcement {
   std::string Name;
+  std::string Life; ///< Differs between the starts of the endpoint, if known.
   peer_address Address;
   endpoint_report Offer; ///< State Serving or Leaving.
 
@@ -72,6 +79,10 @@
 struct entries_read {
   std::vector<peer_address> Entries;
 };
+/// The settings name these entries besides those that they named before.
+struct bootstrap_changed {
+  std::vector<peer_address> Entries;
+};
 /// The platform duty has read a configuration.
 struct configuration_read {
   configuration Configuration;
@@ -98,15 +109,33 @@
   task_id Task;
   std::string Reason;
 };
+/// The run ended before its time, by a stop or with its endpoint or lease.
+struct run_stopped {
+  task_id Task;
+  std::string Reason;
+};
+/// The endpoint refused the start, and the run will certainly not begin.
+struct run_refused {
+  task_id Task;
+  std::string Reason;
+};
+/// Nothing that an earlier life of this companion started runs any more.
+struct endpoint_settled {};
+/// The endpoint no longer answers, whatever it last announced.
+struct endpoint_silent {
+  std::string Reason;
+};
 struct timer_expired {};
 /// Planned stop: give back queued tasks, let running ones end and their results
 /// be fetched.
 struct stop_requested {};
 
-using event = std::variant<link_opened, envelope_received, link_closed,
-                           entries_read, configuration_read, endpoint_announced,
-                           run_completed, run_failed, run_not_reached, run_lost,
-                           timer_expired, stop_requested>;
+using event =
+    std::variant<link_opened, envelope_received, link_closed, entries_read,
+                 configuration_read, endpoint_announced, run_completed,
+                 run_failed, run_not_reached, run_lost, run_stopped,
+                 run_refused, endpoint_settled, endpoint_silent,
+                 bootstrap_changed, timer_expired, stop_requested>;
 
 // Actions.
 
@@ -130,6 +159,8 @@
   std::string Class;
   payload Input;
   peer_address Endpoint;
+  std::string RunName; ///< Name of the job towards the endpoint.
+  std::uint32_t Attempt = 1;
 };
 /// Asks the endpoint to stop a running task.
 struct stop_task {
--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -148,6 +148,8 @@
     Peer.LeavingSeen = Beat->LeavingSeen;
   } else if (const auto *List = std::get_if<entry_list>(&Message)) {
     Links.addKnown(List->Entries);
+  } else if (const auto *Grant = std::get_if<lease_grant>(&Message)) {
+    grantLease(Peer, *Grant);
   } else if (auto *Push = std::get_if<configuration_push>(&Message)) {
     Peer.Revision = std::max(Peer.Revision, Push->Configuration.Revision);
     adopt(Step, std::move(Push->Configuration));
@@ -166,6 +168,11 @@
   Links.setListed(Event.Entries);
 }
 
+void core::implementation::on(const step & /*Step*/,
+                              const bootstrap_changed &Event) {
+  Links.addKnown(Event.Entries);
+}
+
 void core::implementation::on(const step &Step, configuration_read &Event) {
   adopt(Step, std::move(Event.Configuration));
 }
@@ -260,6 +267,34 @@
   reportFreeSlot(Event.Task.Job.Entry);
 }
 
+void core::implementation::on(const step &Step, run_stopped &Event) {
+  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
+    return task_stopped{.Reason = std::move(Event.Reason), .RunTime = RunTime};
+  });
+  reportFreeSlot(Event.Task.Job.Entry);
+}
+
+void core::implementation::on(const step &Step, run_refused &Event) {
+  Desk.endRun(Step, Event.Task, [](duration /*RunTime*/) {
+    return task_not_started{.Reason = not_started_reason::Refused};
+  });
+  reportFreeSlot(Event.Task.Job.Entry);
+}
+
+void core::implementation::on(const step & /*Step*/,
+                              const endpoint_settled & /*Event*/) {
+  EndpointSettled = true;
+  if (Options.AwaitEndpoint) {
+    Links.startDialling();
+  }
+}
+
+void core::implementation::on(const step &Step, const endpoint_silent &Event) {
+  if (Endpoint.suspend(Step, Event.Reason)) {
+    reportEndpoint(Step, not_started_reason::Unreachable);
+  }
+}
+
 void core::implementation::reportFreeSlot(incarnation Ended) {
   const companion_load Load = Desk.refreshLoad();
   if (!Desk.hasFreeSlot() || Load.Queued != 0) {
@@ -329,6 +364,23 @@
   }
 }
 
+void core::implementation::grantLease(entry_peer &Peer,
+                                      const lease_grant &Grant) {
+  const instant At{Grant.At};
+  Peer.LeaseUntil = std::max(Peer.LeaseUntil, At + Options.EntryLease);
+}
+
+void core::implementation::checkLeases(const step &Step) {
+  if (Options.EntryLease == duration::zero()) {
+    return;
+  }
+  for (auto &[Id, Peer] : Entries.getPeers()) {
+    if (Step.Now >= Peer.LeaseUntil) {
+      Desk.endLease(Step, Peer);
+    }
+  }
+}
+
 void core::implementation::on(const step &Step,
                               const stop_requested & /*Event*/) {
   if (Stopping) {
@@ -342,6 +394,8 @@
 }
 
 void core::implementation::finishEvent(const step &Step) {
+  checkLeases(Step);
+  Desk.stopOverdue(Step);
   Desk.startTasks(Step);
   if (Stopping && !Desk.isIdle()) {
     LastRunEnd = Step.Now;
@@ -367,6 +421,9 @@
     if (!Peer.Gone && !Peer.Link) {
       Consider(Peer.LinklessSince + Options.EntryLossLimit);
     }
+    if (Options.EntryLease > duration::zero() && Desk.hasLeased(Id)) {
+      Consider(Peer.LeaseUntil);
+    }
   }
   if (Stopping && !StopFinished) {
     Consider(LastRunEnd + Options.EntryLossLimit);
@@ -391,6 +448,10 @@
         Ended->Load = Load;
       }
     }
+    if (Options.EntryLease > duration::zero()) {
+      Link.Unsent.emplace_back(
+          lease_request{.At = Step.Now.time_since_epoch()});
+    }
     Link.LastSent = Step.Now;
     Step.Actions.emplace_back(
         send_messages{.Link = Id, .Messages = std::exchange(Link.Unsent, {})});
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -28,12 +28,17 @@
   void on(const step &Step, envelope_received &Event);
   void on(const step &Step, const link_closed &Event);
   void on(const step &Step, const entries_read &Event);
+  void on(const step &Step, const bootstrap_changed &Event);
   void on(const step &Step, configuration_read &Event);
   void on(const step &Step, const endpoint_announced &Event);
   void on(const step &Step, run_completed &Event);
   void on(const step &Step, run_failed &Event);
   void on(const step &Step, const run_not_reached &Event);
   void on(const step &Step, run_lost &Event);
+  void on(const step &Step, run_stopped &Event);
+  void on(const step &Step, run_refused &Event);
+  void on(const step &Step, const endpoint_settled &Event);
+  void on(const step &Step, const endpoint_silent &Event);
   void on(const step &Step, const timer_expired &Event);
   void on(const step &Step, const stop_requested &Event);
   void finishEvent(const step &Step);
@@ -60,6 +65,8 @@
   void closeSilentLinks(const step &Step);
   void dropLostEntries(const step &Step);
   void addHeartbeats(const step &Step);
+  void checkLeases(const step &Step);
+  void grantLease(entry_peer &Peer, const lease_grant &Grant);
   bool isFinished(instant Now) const;
   std::optional<instant> findNextWake() const;
 
@@ -71,6 +78,7 @@
   task_desk Desk;
   std::optional<instant> Wake;
   incarnation LastReported{};
+  bool EndpointSettled = false;
   bool Stopping = false;
   bool StopFinished = false;
   instant LastRunEnd; ///< While stopping: when the last task ended.
--- a/packages/companion/src/entry_links.cpp
+++ b/packages/companion/src/entry_links.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 entry_links::entry_links(const options &Options)
-    : Options(Options), Generator(Options.Seed) {
+    : Options(Options), Dials(!Options.AwaitEndpoint), Generator(Options.Seed) {
   for (const peer_address &Address : Options.Bootstrap) {
     Addresses[Address].Bootstrap = true;
   }
@@ -67,6 +67,9 @@
 }
 
 void entry_links::dialDue(const step &Step) {
+  if (!Dials) {
+    return;
+  }
   std::erase_if(Addresses, [](const auto &Item) {
     const address_state &State = Item.second;
     return !State.Listed && !State.Bootstrap && !State.Link &&
@@ -151,7 +154,7 @@
     Next = Next ? std::min(*Next, At) : At;
   };
   for (const auto &[Address, State] : Addresses) {
-    if (isWanted(State)) {
+    if (Dials && isWanted(State)) {
       Consider(State.NextDial);
     }
   }
--- a/packages/companion/src/entry_links.h
+++ b/packages/companion/src/entry_links.h
@@ -41,6 +41,8 @@
   /// Holds back dials to \p Address while \p Entry is linked.
   void noteAlias(const peer_address &Address, incarnation Entry);
 
+  /// Lets dials go out that the options hold back at first.
+  void startDialling() { Dials = true; }
   /// Dials every address without a link whose time has come.
   void dialDue(const step &Step);
   /// \returns null if \p Link is not open or being dialled.
@@ -76,6 +78,7 @@
   void release(instant Now, const link_state &Link, duration Pause);
 
   const options &Options;
+  bool Dials;
   spread_generator Generator;
   std::map<peer_address, address_state> Addresses;
   std::map<link_id, link_state> Links;
--- a/packages/companion/src/entry_registry.h
+++ b/packages/companion/src/entry_registry.h
@@ -26,6 +26,7 @@
   std::uint32_t Backlog = 0;        ///< Its waiting tasks, last heard.
   bool Stopping = false;            ///< It shuts down and places nothing new.
   bool LeavingSeen = false;         ///< Said on the present link.
+  instant LeaseUntil;               ///< Its tasks may run and start until then.
   bool ResendEnds = false; ///< A new link has not carried the ends yet.
   task_history History;
   retained_ends Ends;
--- a/packages/companion/src/retained_ends.cpp
+++ b/packages/companion/src/retained_ends.cpp
@@ -20,6 +20,9 @@
   std::uint64_t operator()(const task_lost &End) const {
     return End.Reason.size();
   }
+  std::uint64_t operator()(const task_stopped &End) const {
+    return End.Reason.size();
+  }
 };
 
 } // namespace
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -35,9 +35,11 @@
   if (Placement.Deadline) {
     Deadline = Step.Now + *Placement.Deadline;
   }
+  const std::uint32_t Room = roomFor(Endpoint.getReport(), needsOf(Placement));
   Queue.add(queued_task{.Placement = std::move(Placement),
                         .StartBy = StartBy,
-                        .Deadline = Deadline});
+                        .Deadline = Deadline,
+                        .Room = Room});
 }
 
 std::optional<not_started_reason>
@@ -46,12 +48,14 @@
   if (Report.State != endpoint_state::Serving) {
     return not_started_reason::Leaving;
   }
-  if (std::ranges::find(Report.Classes, Task.Class) == Report.Classes.end()) {
+  const std::string &Pool = Task.Pool.empty() ? Task.Class : Task.Pool;
+  if (std::ranges::find(Report.Classes, Pool) == Report.Classes.end()) {
     return not_started_reason::Unsupported;
   }
-  const class_spec *Class = findClass(Task.Class);
-  if (Class != nullptr && (Class->MemoryBytes > Report.MemoryBytes ||
-                           Class->Accelerators > Report.Accelerators)) {
+  const task_needs Needs = needsOf(Task);
+  if (Needs.MemoryBytes > Report.MemoryBytes ||
+      Needs.Accelerators > Report.Accelerators ||
+      roomFor(Report, Needs) > capacityOf(Report)) {
     return not_started_reason::Unsupported;
   }
   if (Task.Deadline && *Task.Deadline <= duration::zero()) {
@@ -176,8 +180,12 @@
   }
   const running_task &Run = Place->second;
   const duration RunTime = Step.Now - Run.StartedAt;
-  UsedMemoryBytes -= Run.MemoryBytes;
-  UsedAccelerators -= Run.Accelerators;
+  UsedMemoryBytes -= Run.Needs.MemoryBytes;
+  UsedAccelerators -= Run.Needs.Accelerators;
+  UsedRoom -= Run.Room;
+  if (Run.OverdueAt) {
+    Overdue.erase({*Run.OverdueAt, Task});
+  }
   Running.erase(Place);
   return RunTime;
 }
@@ -186,7 +194,7 @@
   giveBackExpired(Step);
   while (hasFreeSlot()) {
     const queued_task *First = Queue.getFirst();
-    if (First == nullptr || !hasResourcesFor(First->Placement.Class)) {
+    if (First == nullptr || !hasResourcesFor(First->Placement)) {
       return;
     }
     start(Step, *Queue.remove(First->Placement.Task));
@@ -202,13 +210,17 @@
 
 void task_desk::start(const step &Step, queued_task Task) {
   place_task &Placement = Task.Placement;
-  running_task Run{.StartedAt = Step.Now, .Endpoint = Endpoint.getAddress()};
-  if (const class_spec *Class = findClass(Placement.Class)) {
-    Run.MemoryBytes = Class->MemoryBytes;
-    Run.Accelerators = Class->Accelerators;
+  running_task Run{.StartedAt = Step.Now,
+                   .Endpoint = Endpoint.getAddress(),
+                   .Needs = needsOf(Placement)};
+  Run.Room = roomFor(Endpoint.getReport(), Run.Needs);
+  UsedMemoryBytes += Run.Needs.MemoryBytes;
+  UsedAccelerators += Run.Needs.Accelerators;
+  UsedRoom += Run.Room;
+  if (Placement.RunLimit) {
+    Run.OverdueAt = Step.Now + *Placement.RunLimit;
+    Overdue.emplace(*Run.OverdueAt, Placement.Task);
   }
-  UsedMemoryBytes += Run.MemoryBytes;
-  UsedAccelerators += Run.Accelerators;
   Running.emplace(Placement.Task, Run);
   ++Started;
   timeline_event Event = makeEvent(event_kind::TaskStarted, Placement.Task);
@@ -218,7 +230,9 @@
   Step.Actions.emplace_back(start_task{.Task = Placement.Task,
                                        .Class = std::move(Placement.Class),
                                        .Input = std::move(Placement.Input),
-                                       .Endpoint = Run.Endpoint});
+                                       .Endpoint = Run.Endpoint,
+                                       .RunName = std::move(Placement.RunName),
+                                       .Attempt = Placement.Attempt});
 }
 
 void task_desk::askToStop(const step &Step, const task_id &Task) {
@@ -233,17 +247,26 @@
 bool task_desk::hasFreeSlot() const {
   const endpoint_report Report = Endpoint.getReport();
   return Report.State == endpoint_state::Serving &&
-         Running.size() < Report.Slots;
+         UsedRoom < capacityOf(Report);
 }
 
-bool task_desk::hasResourcesFor(const std::string &Class) const {
-  const class_spec *Spec = findClass(Class);
-  if (Spec == nullptr) {
-    return true;
-  }
+bool task_desk::hasResourcesFor(const place_task &Placement) const {
+  const task_needs Needs = needsOf(Placement);
   const endpoint_report Report = Endpoint.getReport();
-  return UsedMemoryBytes + Spec->MemoryBytes <= Report.MemoryBytes &&
-         UsedAccelerators + Spec->Accelerators <= Report.Accelerators;
+  return UsedRoom + roomFor(Report, Needs) <= capacityOf(Report) &&
+         UsedMemoryBytes + Needs.MemoryBytes <= Report.MemoryBytes &&
+         UsedAccelerators + Needs.Accelerators <= Report.Accelerators;
+}
+
+task_needs task_desk::needsOf(const place_task &Placement) const {
+  task_needs Needs = Placement.Needs;
+  if (const class_spec *Spec = findClass(Placement.Class)) {
+    Needs.MemoryBytes =
+        Needs.MemoryBytes > 0 ? Needs.MemoryBytes : Spec->MemoryBytes;
+    Needs.Accelerators =
+        Needs.Accelerators > 0 ? Needs.Accelerators : Spec->Accelerators;
+  }
+  return Needs;
 }
 
 const class_spec *task_desk::findClass(const std::string &Name) const {
@@ -258,6 +281,45 @@
   }
 }
 
+void task_desk::endLease(const step &Step, const entry_peer &Peer) {
+  const incarnation Entry = Peer.Id.Incarnation;
+  for (const task_id &Task : Queue.listTasks(Entry)) {
+    Queue.remove(Task);
+    refuse(Step, Task, not_started_reason::Withdrawn);
+  }
+  for (auto &[Task, Run] : Running) {
+    if (Task.Job.Entry == Entry) {
+      askToStop(Step, Task);
+    }
+  }
+}
+
+bool task_desk::hasLeased(incarnation Entry) const {
+  const auto IsLeased = [Entry](const auto &Item) {
+    return Item.first.Job.Entry == Entry && !Item.second.StopAsked;
+  };
+  return !Queue.listTasks(Entry).empty() ||
+         std::ranges::any_of(Running, IsLeased);
+}
+
+void task_desk::stopOverdue(const step &Step) {
+  while (!Overdue.empty() && Overdue.begin()->first <= Step.Now) {
+    const task_id Task = Overdue.begin()->second;
+    Overdue.erase(Overdue.begin());
+    Running.at(Task).OverdueAt.reset();
+    askToStop(Step, Task);
+  }
+}
+
+std::optional<instant> task_desk::getNextWake() const {
+  std::optional<instant> Next = Queue.getNextDeadline();
+  if (!Overdue.empty()) {
+    const instant First = Overdue.begin()->first;
+    Next = Next ? std::min(*Next, First) : First;
+  }
+  return Next;
+}
+
 void task_desk::dropEntry(const step &Step, entry_peer &Peer) {
   for (const task_id &Task : Queue.listTasks(Peer.Id.Incarnation)) {
     Queue.remove(Task);
@@ -288,6 +350,9 @@
     Event.Code = toString(Refused->Reason);
   } else if (const auto *Lost = std::get_if<task_lost>(&End)) {
     Event.Reason = Lost->Reason;
+  } else if (const auto *Stopped = std::get_if<task_stopped>(&End)) {
+    Event.Kind = event_kind::TaskStopped;
+    Event.Reason = Stopped->Reason;
   }
   entry_peer *Peer = Entries.find(Task.Job.Entry);
   if (Peer != nullptr && Event.Kind == event_kind::TaskNotStarted) {
@@ -314,7 +379,9 @@
   companion_load Now{.Sequence = Load.Sequence,
                      .Running = static_cast<std::uint32_t>(Running.size()),
                      .Queued = Queue.getSize(),
-                     .QueuedRunTime = Queue.getRunTime()};
+                     .QueuedRunTime = Queue.getRunTime(),
+                     .UsedRoom = UsedRoom,
+                     .QueuedRoom = Queue.getRoom()};
   if (Now != Load) {
     ++Now.Sequence;
     Load = Now;
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -49,13 +50,21 @@
   void giveBackExpired(const step &Step);
   /// Gives all queued tasks back.
   void giveBackQueued(const step &Step, not_started_reason Reason);
+  /// Stops everything of an entry whose lease has ended, and gives back what
+  /// it has queued.
+  void endLease(const step &Step, const entry_peer &Peer);
+  /// \returns whether \p Entry has tasks that depend on its lease.
+  bool hasLeased(incarnation Entry) const;
+  /// Stops runs that have lasted longer than their placements allow.
+  void stopOverdue(const step &Step);
   /// Drops the queued tasks and the ends of an entry that is gone.
   void dropEntry(const step &Step, entry_peer &Peer);
 
   bool hasFreeSlot() const;
   bool isIdle() const { return Running.empty() && Queue.getSize() == 0; }
   std::uint64_t getStarted() const { return Started; }
-  std::optional<instant> getNextWake() const { return Queue.getNextDeadline(); }
+  /// \returns when a queued task expires or a run becomes overdue.
+  std::optional<instant> getNextWake() const;
   /// \returns the load now; its sequence grows when it has changed.
   companion_load refreshLoad();
   const companion_load &getLoad() const { return Load; }
@@ -66,8 +75,9 @@
   struct running_task {
     instant StartedAt;
     peer_address Endpoint;
-    std::uint64_t MemoryBytes = 0;
-    std::uint32_t Accelerators = 0;
+    task_needs Needs; ///< With the class's needs filled in.
+    std::uint32_t Room = 0;
+    std::optional<instant> OverdueAt;
     bool StopAsked = false;
   };
 
@@ -81,7 +91,9 @@
                    const resume_request &Message);
   void start(const step &Step, queued_task Task);
   void askToStop(const step &Step, const task_id &Task);
-  bool hasResourcesFor(const std::string &Class) const;
+  bool hasResourcesFor(const place_task &Placement) const;
+  /// \returns what the task needs, with the class's needs filled in.
+  task_needs needsOf(const place_task &Placement) const;
   const class_spec *findClass(const std::string &Name) const;
   void refuse(const step &Step, const task_id &Task, not_started_reason Reason);
   /// Records, keeps and sends an end.
@@ -96,8 +108,10 @@
   const endpoint_monitor &Endpoint;
   task_queue Queue;
   std::unordered_map<task_id, running_task> Running;
+  std::set<std::pair<instant, task_id>> Overdue; ///< Runs with a limit.
   std::uint64_t UsedMemoryBytes = 0;
   std::uint32_t UsedAccelerators = 0;
+  std::uint32_t UsedRoom = 0;
   std::uint64_t Started = 0;
   companion_load Load;
 };
--- a/packages/companion/src/task_queue.cpp
+++ b/packages/companion/src/task_queue.cpp
@@ -2,10 +2,20 @@
 
 namespace crocuswood::companion {
 
+namespace {
+
+duration workOf(const queued_task &Task) {
+  return Task.Placement.ExpectedRunTime * static_cast<std::int64_t>(Task.Room) /
+         SlotRoom;
+}
+
+} // namespace
+
 void task_queue::add(queued_task Task) {
   const task_id Id = Task.Placement.Task;
-  const position Position{Task.StartBy, NextNumber++};
-  RunTime += Task.Placement.ExpectedRunTime;
+  const position Position{Task.Placement.Priority, Task.StartBy, NextNumber++};
+  RunTime += workOf(Task);
+  Room += Task.Room;
   if (Task.Deadline) {
     Deadlines.emplace(*Task.Deadline, Id);
   }
@@ -20,7 +30,8 @@
   }
   const auto Place = Order.find(Position->second);
   queued_task Removed = std::move(Place->second);
-  RunTime -= Removed.Placement.ExpectedRunTime;
+  RunTime -= workOf(Removed);
+  Room -= Removed.Room;
   if (Removed.Deadline) {
     Deadlines.erase({*Removed.Deadline, Removed.Placement.Task});
   }
--- a/packages/companion/src/task_queue.h
+++ b/packages/companion/src/task_queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,9 +20,10 @@
   place_task Placement;
   instant StartBy; ///< When it must start to meet its target.
   std::optional<instant> Deadline;
+  std::uint32_t Room = SlotRoom; ///< That it will take.
 };
 
-/// Waiting tasks, the least slack first.
+/// Waiting tasks, by priority and then the least slack first.
 class task_queue {
 public:
   void add(queued_task Task);
@@ -40,17 +42,21 @@
   std::uint32_t getSize() const {
     return static_cast<std::uint32_t>(Order.size());
   }
-  /// \returns the expected run time of all tasks together.
+  /// \returns the expected run time of all tasks together, each by the slots
+  /// or cores that it takes.
   duration getRunTime() const { return RunTime; }
+  /// \returns the room that all tasks together will take.
+  std::uint32_t getRoom() const { return Room; }
 
 private:
-  using position = std::pair<instant, std::uint64_t>;
+  using position = std::tuple<std::uint32_t, instant, std::uint64_t>;
 
   std::map<position, queued_task> Order;
   std::unordered_map<task_id, position> Positions;
   std::set<std::pair<instant, task_id>> Deadlines;
   std::uint64_t NextNumber = 0;
   duration RunTime{};
+  std::uint32_t Room = 0;
 };
 
 } // namespace crocuswood::companion
--- a/packages/config/src/document.cpp
+++ b/packages/config/src/document.cpp
@@ -18,6 +18,9 @@
 constexpr double LeastQuantile = 0.01;
 constexpr double GreatestQuantile = 0.99999;
 constexpr double GreatestTaskStarts = 1e9;
+constexpr std::uint64_t GreatestPriority = 1'000;
+constexpr std::uint64_t GreatestAttempts = 100;
+constexpr double GreatestRunTimeFactor = 100;
 
 // Largest whole number that every JSON reader keeps exactly.
 constexpr std::uint64_t MaxExactWhole = (1ULL << 53U) - 1;
@@ -31,6 +34,20 @@
   Object["idempotent"] = Value.Idempotent;
   Object["memory_bytes"] = Value.MemoryBytes;
   Object["accelerators"] = Value.Accelerators;
+  // Members that most classes leave at their defaults are left out.
+  const class_spec Default;
+  const auto Add = [&Object](const char *Key, const auto &Member,
+                             const auto &Usual) {
+    if (Member != Usual) {
+      Object[Key] = Member;
+    }
+  };
+  Add("priority", Value.Priority, Default.Priority);
+  Add("max_attempts", Value.MaxAttempts, Default.MaxAttempts);
+  Add("run_time_factor", Value.RunTimeFactor, Default.RunTimeFactor);
+  Add("pool", Value.Pool, Default.Pool);
+  Add("host", Value.Host, Default.Host);
+  Add("path_prefix", Value.PathPrefix, Default.PathPrefix);
   return Object;
 }
 
@@ -55,6 +72,17 @@
   Reader.readWhole("accelerators", Accelerators,
                    std::numeric_limits<std::uint32_t>::max());
   Value.Accelerators = static_cast<std::uint32_t>(Accelerators);
+  std::uint64_t Priority = 0;
+  Reader.readWhole("priority", Priority, GreatestPriority);
+  Value.Priority = static_cast<std::uint32_t>(Priority);
+  std::uint64_t MaxAttempts = 1;
+  Reader.readWhole("max_attempts", MaxAttempts, GreatestAttempts);
+  Value.MaxAttempts = static_cast<std::uint32_t>(MaxAttempts);
+  Reader.readNumber("run_time_factor", Value.RunTimeFactor, 0,
+                    GreatestRunTimeFactor);
+  Reader.readText("pool", Value.Pool);
+  Reader.readText("host", Value.Host);
+  Reader.readText("path_prefix", Value.PathPrefix);
   Reader.finish();
   return Value;
 }
--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -40,6 +40,13 @@
   duration LossLimit =
       std::chrono::seconds(10); ///< A companion without a link for longer is
                                 ///< lost; its tasks may have run.
+  /// Companions run this entry's tasks only for a bounded time after its latest
+  /// grant. After a LossLimit without a grant they have certainly ended, so
+  /// repeatable tasks may run elsewhere.
+  bool GrantsLeases = false;
+  /// A planned stop takes new jobs for this long, until the balancer has
+  /// noticed that the entry is not ready.
+  duration StopDelay{};
   std::uint32_t MaxOutstandingTasks = 200'000; ///< Admission stops there.
   duration ClaimLimit =
       std::chrono::seconds(5); ///< A claim unconfirmed for longer is refused.
@@ -153,13 +160,15 @@
 struct record_event {
   timeline_event Event;
 };
+/// The entry refuses new jobs from now on.
+struct intake_closed {};
 /// Everything accepted has ended and a stop was requested; the process may
 /// exit.
 struct stop_finished {};
 
 using action = std::variant<answer_caller, send_messages, close_link, ask_claim,
                             settle_claim, wake_at, configuration_adopted,
-                            record_event, stop_finished>;
+                            record_event, intake_closed, stop_finished>;
 
 // Status.
 
--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -59,12 +59,18 @@
   if (Window.Slots == 0) {
     return {};
   }
-  const double Target = seconds(State.Classes[Class].Spec.AnswerWithin);
+  const double Target = seconds(State.Classes[Class].getTarget());
   double Work = 0;
   for (class_index Other = 0; Other < State.Queue.getClassCount(); ++Other) {
-    const double OtherTarget = seconds(State.Classes[Other].Spec.AnswerWithin);
+    const double OtherTarget = seconds(State.Classes[Other].getTarget());
+    const std::uint32_t Priority = State.Classes[Class].Spec.Priority;
+    const std::uint32_t OtherPriority = State.Classes[Other].Spec.Priority;
+    if (OtherPriority > Priority) {
+      continue;
+    }
     // Of a class with a longer target, only the older jobs go first.
-    const double Ahead = OtherTarget <= Target ? 1 : Target / OtherTarget;
+    const bool GoesFirst = OtherPriority < Priority || OtherTarget <= Target;
+    const double Ahead = GoesFirst ? 1 : Target / OtherTarget;
     Work += seconds(State.Queue.getWork(Other)) * Ahead;
   }
   // The other entries are taken to have as much waiting as this one.
@@ -81,7 +87,7 @@
 
 duration admission::longestWait(class_index Class, double Tolerance) {
   const work_class &Work = State.Classes[Class];
-  const duration Target = Work.Spec.AnswerWithin;
+  const duration Target = Work.getTarget();
   const duration Left = Target - Work.expect(std::nullopt);
   return fromSeconds(seconds(std::max(Left, Target / LeastWaitDivisor)) *
                      Tolerance);
@@ -121,7 +127,7 @@
 }
 
 duration admission::getLateLimit(class_index Class) const {
-  return std::max(State.Classes[Class].Spec.AnswerWithin * LateTargets,
+  return std::max(State.Classes[Class].getTarget() * LateTargets,
                   LeastLateLimit);
 }
 
--- a/packages/entry/src/class_table.cpp
+++ b/packages/entry/src/class_table.cpp
@@ -13,7 +13,14 @@
   return RunTimes.expect(Declared, Spec.AnswerWithin / FallbackDivisor);
 }
 
+duration work_class::getTarget() const {
+  const auto RunTime = static_cast<double>(expect(std::nullopt).count());
+  return Spec.AnswerWithin +
+         duration(static_cast<std::int64_t>(RunTime * Spec.RunTimeFactor));
+}
+
 void class_table::update(const configuration &Configuration) {
+  Pools.clear();
   for (work_class &Class : Classes) {
     Class.Configured = false;
   }
@@ -24,6 +31,7 @@
     }
     Classes[Place->second].Spec = Spec;
     Classes[Place->second].Configured = true;
+    Pools[poolOf(Spec)].push_back(Place->second);
   }
 }
 
@@ -35,4 +43,11 @@
   return Place->second;
 }
 
+const std::vector<class_index> &
+class_table::findPool(const std::string &Pool) const {
+  static const std::vector<class_index> None;
+  const auto Place = Pools.find(Pool);
+  return Place == Pools.end() ? None : Place->second;
+}
+
 } // namespace crocuswood::entry
--- a/packages/entry/src/class_table.h
+++ b/packages/entry/src/class_table.h
@@ -23,6 +23,8 @@
 
   /// \returns the expected run time of a task.
   duration expect(std::optional<duration> Declared) const;
+  /// \returns the target: the fixed part and the one that the run time adds.
+  duration getTarget() const;
 };
 
 /// Keeps classes by index. An index stays valid for the life of the table.
@@ -33,6 +35,8 @@
 
   /// \returns the configured class called \p Name.
   std::optional<class_index> find(const std::string &Name) const;
+  /// \returns the configured classes that endpoints of \p Pool run.
+  const std::vector<class_index> &findPool(const std::string &Pool) const;
 
   work_class &operator[](class_index Index) { return Classes[Index]; }
   const work_class &operator[](class_index Index) const {
@@ -45,6 +49,7 @@
 private:
   std::vector<work_class> Classes;
   std::unordered_map<std::string, class_index> Names;
+  std::unordered_map<std::string, std::vector<class_index>> Pools;
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -14,6 +14,12 @@
 
 namespace crocuswood::entry {
 
+/// A placement that has not shown in a load yet.
+struct unseen_placement {
+  instant PlacedAt;
+  std::uint32_t Room = 0;
+};
+
 /// A companion from its first hello until it is lost.
 struct companion_record {
   process_id Id;
@@ -30,12 +36,14 @@
   instant SentAt;
 
   std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
-  std::deque<instant> Unseen;        ///< Times of placements that the last load
-                                     ///< heard can't have counted.
-  double Others = 0;        ///< Tasks of other entries in the last load.
-  instant OthersAt;         ///< When that load was heard.
+  /// Placements that the last load heard can't have counted.
+  std::deque<unseen_placement> Unseen;
+  std::uint64_t OutstandingRoom = 0; ///< Of the outstanding tasks.
+  std::uint64_t UnseenRoom = 0;      ///< Of the unseen placements.
+  double Others = 0; ///< Slots or cores of other entries in the last load.
+  instant OthersAt;  ///< When that load was heard.
   double CountedOthers = 0; ///< Part in the sums over all companions.
-  std::uint32_t CountedSlots = 0;
+  double CountedSlots = 0;
   duration RoundTrip{}; ///< From a placement to its effect on a load.
   std::uint64_t UsedMemoryBytes = 0; ///< By the outstanding tasks.
   std::uint32_t UsedAccelerators = 0;
@@ -45,6 +53,9 @@
                                         ///< not trusted in full.
   std::vector<class_index> Barred;      ///< Classes that it must not get now.
   std::vector<class_index> Runnable;    ///< Classes that it can run, sorted.
+  duration LeaseStamp{};                ///< Of the latest lease request.
+  bool LeaseAsked = false;              ///< The request has not been answered.
+  instant GrantedAt;                    ///< When a lease was last granted.
   bool ReportUnused = false; ///< A load report led to no placement yet.
 
   outbox Outbox;
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -15,6 +15,14 @@
 constexpr double RunTimeShare = 1.0 / 256;
 constexpr std::uint32_t RefreshedAtOnce = 4;
 
+double toSlots(std::uint64_t Room) {
+  return static_cast<double>(Room) / SlotRoom;
+}
+
+double slotsOf(const endpoint_report &Endpoint) {
+  return toSlots(capacityOf(Endpoint));
+}
+
 } // namespace
 
 companion_table::companion_table(const class_table &Classes, std::string Zone)
@@ -86,15 +94,18 @@
                              instant Now) {
   companion_record &Record = Records[Index];
   task &Placed = Task.get();
-  const class_spec &Spec = Classes[Task.Job->Class].Spec;
+  const std::uint32_t Room = roomFor(Record.Endpoint, Placed.Needs);
   Placed.State = task_state::Placed;
   Placed.Companion = Index;
   Placed.PlacedAt = Now;
   Placed.Position = static_cast<std::uint32_t>(Record.Outstanding.size());
   Record.Outstanding.push_back(Task);
-  Record.Unseen.push_back(Now);
-  Record.UsedMemoryBytes += Spec.MemoryBytes;
-  Record.UsedAccelerators += Spec.Accelerators;
+  Placed.Room = Room;
+  Record.Unseen.push_back({.PlacedAt = Now, .Room = Room});
+  Record.UnseenRoom += Room;
+  Record.OutstandingRoom += Room;
+  Record.UsedMemoryBytes += Placed.Needs.MemoryBytes;
+  Record.UsedAccelerators += Placed.Needs.Accelerators;
   refreshRoom(Index, Now);
 }
 
@@ -102,14 +113,13 @@
   task &Released = Task.get();
   const companion_index Index = Released.Companion;
   companion_record &Record = Records[Index];
-  const class_spec &Spec = Classes[Task.Job->Class].Spec;
   task_ref &Hole = Record.Outstanding[Released.Position];
   Hole = Record.Outstanding.back();
   Hole.get().Position = Released.Position;
   Record.Outstanding.pop_back();
-  Record.UsedMemoryBytes -= std::min(Record.UsedMemoryBytes, Spec.MemoryBytes);
-  Record.UsedAccelerators -=
-      std::min(Record.UsedAccelerators, Spec.Accelerators);
+  Record.OutstandingRoom -= Released.Room;
+  Record.UsedMemoryBytes -= Released.Needs.MemoryBytes;
+  Record.UsedAccelerators -= Released.Needs.Accelerators;
   Released.Companion = NoCompanion;
   refreshRoom(Index, Now);
 }
@@ -123,12 +133,14 @@
   }
   Record.Load = Load;
 
-  while (!Record.Unseen.empty() && Record.Unseen.front() <= SeenUntil) {
+  while (!Record.Unseen.empty() &&
+         Record.Unseen.front().PlacedAt <= SeenUntil) {
+    Record.UnseenRoom -= Record.Unseen.front().Room;
     Record.Unseen.pop_front();
   }
-  const double Own = static_cast<double>(Record.Outstanding.size()) -
-                     static_cast<double>(Record.Unseen.size());
-  const double Total = Load.Running + Load.Queued;
+  const double Own =
+      toSlots(Record.OutstandingRoom) - toSlots(Record.UnseenRoom);
+  const double Total = toSlots(Load.UsedRoom) + toSlots(Load.QueuedRoom);
   Record.Others = std::max(0.0, Total - std::max(0.0, Own));
   Record.OthersAt = Now;
   countOthers(Record);
@@ -140,7 +152,7 @@
   SumOthers -= Record.CountedOthers;
   SumSlots -= Record.CountedSlots;
   Record.CountedOthers = Serves ? Record.Others : 0;
-  Record.CountedSlots = Serves ? Record.Endpoint.Slots : 0;
+  Record.CountedSlots = Serves ? slotsOf(Record.Endpoint) : 0;
   SumOthers += Record.CountedOthers;
   SumSlots += Record.CountedSlots;
 }
@@ -168,15 +180,13 @@
 std::vector<class_index>
 companion_table::runnableClasses(const companion_record &Record) const {
   std::vector<class_index> Runnable;
-  for (const std::string &Name : Record.Endpoint.Classes) {
-    const auto Class = Classes.find(Name);
-    if (!Class) {
-      continue;
-    }
-    const class_spec &Spec = Classes[*Class].Spec;
-    if (Spec.MemoryBytes <= Record.Endpoint.MemoryBytes &&
-        Spec.Accelerators <= Record.Endpoint.Accelerators) {
-      Runnable.push_back(*Class);
+  for (const std::string &Pool : Record.Endpoint.Classes) {
+    for (const class_index Class : Classes.findPool(Pool)) {
+      const class_spec &Spec = Classes[Class].Spec;
+      if (Spec.MemoryBytes <= Record.Endpoint.MemoryBytes &&
+          Spec.Accelerators <= Record.Endpoint.Accelerators) {
+        Runnable.push_back(Class);
+      }
     }
   }
   std::sort(Runnable.begin(), Runnable.end());
@@ -186,9 +196,9 @@
 
 double companion_table::estimateTasks(const companion_record &Record,
                                       instant Now) const {
-  const auto Own = static_cast<double>(Record.Outstanding.size());
+  const double Own = toSlots(Record.OutstandingRoom);
   const double Mean =
-      SumSlots > 0 ? SumOthers / SumSlots * Record.Endpoint.Slots : 0;
+      SumSlots > 0 ? SumOthers / SumSlots * slotsOf(Record.Endpoint) : 0;
   const double RunTime = MeanRunTime > 0 ? MeanRunTime : DefaultRunTime;
   const auto Age = static_cast<double>((Now - Record.OthersAt).count());
   const double Worth = std::exp(-Age / (RunTime * OthersMemory));
@@ -197,7 +207,7 @@
 
 std::int32_t companion_table::roomOf(const companion_record &Record,
                                      instant Now) const {
-  const double Slots = Record.Endpoint.Slots - estimateTasks(Record, Now);
+  const double Slots = slotsOf(Record.Endpoint) - estimateTasks(Record, Now);
   const auto Room = static_cast<std::int32_t>(
       std::floor(Slots * capacity_index::RoomPerSlot));
   if (!Record.Allowed) {
@@ -257,12 +267,13 @@
   Capacity.setRoom(Index, roomOf(Records[Index], Now));
 }
 
-bool companion_table::hasNeeds(companion_index Index, class_index Class) const {
+bool companion_table::hasNeeds(companion_index Index,
+                               const task_needs &Needs) const {
   const companion_record &Record = Records[Index];
-  const class_spec &Spec = Classes[Class].Spec;
-  return Record.UsedMemoryBytes + Spec.MemoryBytes <=
+  return roomFor(Record.Endpoint, Needs) <= capacityOf(Record.Endpoint) &&
+         Record.UsedMemoryBytes + Needs.MemoryBytes <=
              Record.Endpoint.MemoryBytes &&
-         Record.UsedAccelerators + Spec.Accelerators <=
+         Record.UsedAccelerators + Needs.Accelerators <=
              Record.Endpoint.Accelerators;
 }
 
@@ -280,11 +291,11 @@
 }
 
 std::uint32_t companion_table::countSlots(class_index Class) const {
-  std::uint32_t Slots = 0;
+  double Slots = 0;
   Capacity.forEach(Class, [&](companion_index Index) {
-    Slots += Records[Index].Endpoint.Slots;
+    Slots += slotsOf(Records[Index].Endpoint);
   });
-  return Slots;
+  return static_cast<std::uint32_t>(Slots);
 }
 
 void companion_table::refreshSums(std::uint32_t Known) {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -65,11 +65,12 @@
   /// Recomputes the room of the companion.
   void refreshRoom(companion_index Index, instant Now);
 
-  /// \returns whether the companion has what another task of \p Class needs.
-  bool hasNeeds(companion_index Index, class_index Class) const;
-  /// \returns tasks that the companion has by the entry's estimate: its own,
-  /// and those of the other entries as last heard. What was heard long ago
-  /// gives way to the mean over all companions.
+  /// \returns whether the companion has what another task needs.
+  bool hasNeeds(companion_index Index, const task_needs &Needs) const;
+  /// \returns slots or cores that the companion has in use or promised by the
+  /// entry's estimate: for its own tasks, and for those of the other entries as
+  /// last heard. What was heard long ago gives way to the mean over all
+  /// companions.
   double estimateTasks(const companion_record &Record, instant Now) const;
   /// \returns linked and serving companions that can run \p Class, those
   /// barred from it included.
@@ -77,7 +78,7 @@
   /// \returns whether any companion that can run the class of \p Job has not
   /// given back its task \p Index yet.
   bool hasUntried(const job &Job, std::uint32_t Index) const;
-  /// \returns slots of the companions that may be given \p Class.
+  /// \returns slots or cores of the companions that may be given \p Class.
   std::uint32_t countSlots(class_index Class) const;
 
   /// Counts the live entries and the other entries' tasks anew from what the
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -67,6 +67,7 @@
 void core::implementation::checkTimes() {
   NextCheck =
       State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
+  closeIntake();
   Links.checkTimes();
   Claims.retryUnsettled();
   State.Companions.refreshSums(
@@ -79,10 +80,21 @@
 }
 
 void core::implementation::requestStop() {
-  if (State.Stopping) {
+  if (State.Draining || State.Stopping) {
     return;
   }
+  State.Draining = true;
+  IntakeEnds = State.now() + State.Options.StopDelay;
+  closeIntake();
+}
+
+void core::implementation::closeIntake() {
+  if (!IntakeEnds || State.now() < *IntakeEnds) {
+    return;
+  }
+  IntakeEnds.reset();
   State.Stopping = true;
+  State.Sink.push(intake_closed{});
   Links.announceStop();
 }
 
@@ -111,7 +123,7 @@
 }
 
 status core::implementation::getStatus() const {
-  status Status{.Stopping = State.Stopping,
+  status Status{.Stopping = State.Draining,
                 .ConfigurationRevision = State.Configuration.Revision,
                 .WastedMessages = State.Messages.Wasted,
                 .SentMessages = State.Messages.Sent,
@@ -145,7 +157,7 @@
     Counters.PlacedTasks = Placed[Index];
     Status.Classes[Class.Spec.Name] = Counters;
   }
-  Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Stopping;
+  Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Draining;
   return Status;
 }
 
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -36,6 +36,7 @@
   void checkStop();
   void scheduleWake();
   void requestStop();
+  void closeIntake();
 
   entry_state State;
   health Health;
@@ -48,7 +49,8 @@
   link_manager Links;
   dispatcher Dispatcher;
   instant NextCheck;
-  std::optional<instant> WakeAt; ///< As last asked for.
+  std::optional<instant> WakeAt;     ///< As last asked for.
+  std::optional<instant> IntakeEnds; ///< While draining.
   bool StopReported = false;
 };
 
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -62,7 +62,7 @@
   }
   State.Retries.spend();
   place(Task, Companion,
-        Task.Job->Arrival + State.Classes[Task.Job->Class].Spec.AnswerWithin -
+        Task.Job->Arrival + State.Classes[Task.Job->Class].getTarget() -
             Task.Job->ExpectedRunTime);
   return true;
 }
@@ -74,9 +74,15 @@
       continue;
     }
     const auto Front =
-        State.Queue.getFront(Class, State.Classes[Class].Spec.AnswerWithin);
-    if (Front && (!Best || Front->Due < Best->Due)) {
-      Best = choice{.Job = Front->Job, .Due = Front->Due};
+        State.Queue.getFront(Class, State.Classes[Class].getTarget());
+    if (!Front) {
+      continue;
+    }
+    const choice Choice{.Job = Front->Job,
+                        .Due = Front->Due,
+                        .Priority = State.Classes[Class].Spec.Priority};
+    if (!Best || Choice.isBefore(*Best)) {
+      Best = Choice;
     }
   }
   return Best;
@@ -89,9 +95,11 @@
     if (Job == nullptr) {
       continue;
     }
-    const instant Due = Job->Arrival + State.Classes[Class].Spec.AnswerWithin;
-    if (!Best || Due < Best->Due) {
-      Best = choice{.Job = Job, .Due = Due};
+    const choice Choice{.Job = Job,
+                        .Due = Job->Arrival + State.Classes[Class].getTarget(),
+                        .Priority = State.Classes[Class].Spec.Priority};
+    if (!Best || Choice.isBefore(*Best)) {
+      Best = Choice;
     }
   }
   return Best;
@@ -118,7 +126,7 @@
 companion_index dispatcher::findCompanion(const task_ref &Task) {
   const job &Job = *Task.Job;
   const auto MayTake = [&](companion_index Candidate) {
-    if (!State.Companions.hasNeeds(Candidate, Job.Class)) {
+    if (!State.Companions.hasNeeds(Candidate, Task.get().Needs)) {
       return false;
     }
     const give_back Refusal{.Task = Task.Index,
@@ -130,7 +138,9 @@
   };
   const std::function<bool(companion_index)> Filter = std::ref(MayTake);
   State.Companions.refreshSome(State.now());
+  const std::uint32_t MilliCores = Task.get().Needs.MilliCores;
   return Policy->choose({.Class = Job.Class,
+                         .Room = MilliCores > 0 ? MilliCores : SlotRoom,
                          .Waiting = State.Queue.getCount(),
                          .Companions = State.Companions,
                          .MayTake = Filter});
@@ -151,7 +161,13 @@
                      .Class = Class.Spec.Name,
                      .Input = Placed.Bytes,
                      .Slack = Due - State.now(),
-                     .ExpectedRunTime = Class.expect(Placed.DeclaredRunTime)};
+                     .ExpectedRunTime = Class.expect(Placed.DeclaredRunTime),
+                     .Needs = Placed.Needs,
+                     .Pool = poolOf(Class.Spec),
+                     .RunName =
+                         Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId,
+                     .Attempt = ++Placed.Starts,
+                     .Priority = Class.Spec.Priority};
   if (Job.Deadline) {
     Message.Deadline = *Job.Deadline - State.now();
   }
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace crocuswood::entry {
@@ -27,6 +28,11 @@
   struct choice {
     job *Job = nullptr;
     instant Due;
+    std::uint32_t Priority = 0;
+
+    bool isBefore(const choice &Other) const {
+      return std::tie(Priority, Due) < std::tie(Other.Priority, Other.Due);
+    }
   };
 
   void admitReadyTeams();
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -41,7 +41,8 @@
   std::vector<peer_address> Entries;
   message_counts Messages;
   std::uint32_t UnfinishedTasks = 0; ///< Of all jobs: waiting or placed.
-  bool Stopping = false;
+  bool Draining = false; ///< A stop was requested; jobs are still taken.
+  bool Stopping = false; ///< No job is taken any more.
 
   instant now() const { return Sink.now(); }
   const std::string &companionName(companion_index Index) const {
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -35,13 +35,17 @@
 struct task {
   payload Bytes; ///< The input, and after completion the output.
   std::optional<duration> DeclaredRunTime;
+  task_needs Needs; ///< With the class's needs filled in.
   instant PlacedAt;
   companion_index Companion = NoCompanion; ///< While Placed.
   std::uint32_t Position = 0; ///< While Placed: in the companion's list.
+  std::uint32_t Room = 0;     ///< While Placed: that it takes there.
   task_state State = task_state::Waiting;
   bool Written = false;   ///< While Placed: the placement has been flushed.
   bool Withdrawn = false; ///< While Placed: asked back.
   std::uint8_t Attempts = 0;
+  std::uint32_t Starts = 0;   ///< Placements so far; numbers the next one.
+  std::uint32_t Failures = 0; ///< Runs that the endpoint reported as failed.
 };
 
 /// A companion gave a task back. It must not get it again, since it may take
@@ -79,6 +83,8 @@
   std::optional<instant> Deadline;
   std::optional<instant> Timer; ///< Registered with the timers.
   std::string Key;
+  std::string CallerId;    ///< Empty if the caller gave none.
+  bool Repeatable = false; ///< Tasks may run again, one run after the other.
   std::uint64_t RequestDigest = 0;
   std::optional<job_failure> Failure; ///< From Failing on.
 
@@ -93,9 +99,10 @@
   instant ShareSince;          ///< When the current share was let in.
   std::uint32_t ShareLeft = 0; ///< Tasks left of the current share.
   duration ExpectedRunTime{};  ///< Of one of its tasks.
-  duration LongestRunTime{};   ///< Of its tasks that have completed.
-  bool Queued = false;         ///< In the waiting queue.
-  bool Parked = false;         ///< Its team is out of starts.
+  duration ExpectedWork{};   ///< The same by the slots or cores that it takes.
+  duration LongestRunTime{}; ///< Of its tasks that have completed.
+  bool Queued = false;       ///< In the waiting queue.
+  bool Parked = false;       ///< Its team is out of starts.
 };
 
 /// A task of a job by its place in memory.
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -62,7 +62,7 @@
   if (Request.Deadline && Request.Deadline->count() <= 0) {
     return notRun(failure_code::InvalidRequest, "The deadline has passed.");
   }
-  if (!State.Classes[*Class].Spec.Idempotent &&
+  if (!State.Classes[*Class].Spec.Idempotent && !Request.Repeatable &&
       Request.IdempotencyKey.empty()) {
     return notRun(failure_code::KeyRequired,
                   "Class '" + Request.Class + "' needs an idempotency key.");
@@ -86,14 +86,51 @@
   const team_index Team = *State.Teams.find(Request.Team);
   const duration Wait = State.Teams.expectedWait(
       Team, static_cast<std::uint32_t>(Request.Tasks.size()));
-  if (Wait > State.Classes[Class].Spec.AnswerWithin) {
+  if (Wait > State.Classes[Class].getTarget()) {
     return notRun(failure_code::QuotaExceeded,
                   "The quota of team '" + Request.Team + "' is used up.", Wait);
   }
   return std::nullopt;
 }
 
+bool job_manager::takeOver(const job_submitted &Event) {
+  job *Earlier = Event.Job.CallerId.empty()
+                     ? nullptr
+                     : State.Jobs.findCaller(Event.Job.CallerId);
+  if (Earlier == nullptr) {
+    return false;
+  }
+  if (Earlier->Phase != job_phase::Active ||
+      Earlier->RequestDigest != digest(Event.Job)) {
+    refuse(State.Jobs.nextId(), Event.Request, Event.Job,
+           notRun(failure_code::Overloaded,
+                  "An earlier attempt under this id is still being stopped.",
+                  NotReadyRetry));
+    return true;
+  }
+  State.Sink.push(answer_caller{
+      .Request = Earlier->Request,
+      .Answer = {.Job = Earlier->Id,
+                 .Outcome = job_failure{
+                     .Code = failure_code::Superseded,
+                     .Certainty = run_certainty::MayHaveRun,
+                     .Reason = "The same job has arrived again."}}});
+  State.Jobs.rebind(*Earlier, Event.Request);
+  if (Event.Job.Deadline) {
+    Earlier->Deadline = State.now() + *Event.Job.Deadline;
+    State.Jobs.setTimer(*Earlier, *Earlier->Deadline);
+  }
+  State.Sink.record({.Kind = event_kind::JobTakenOver,
+                     .Job = Earlier->Id,
+                     .Class = Event.Job.Class,
+                     .Key = Event.Job.CallerId});
+  return true;
+}
+
 void job_manager::submit(job_submitted Event) {
+  if (takeOver(Event)) {
+    return;
+  }
   const job_id Id = State.Jobs.nextId();
   const std::uint64_t Digest = digest(Event.Job);
   State.Sink.record(
@@ -101,7 +138,8 @@
        .Job = Id,
        .Class = Event.Job.Class,
        .Team = Event.Job.Team,
-       .Key = Event.Job.IdempotencyKey,
+       .Key = Event.Job.IdempotencyKey.empty() ? Event.Job.CallerId
+                                               : Event.Job.IdempotencyKey,
        .Digest = Digest,
        .Value = static_cast<std::int64_t>(Event.Job.Tasks.size())});
   auto Failure = findFault(Event.Job);
@@ -123,7 +161,8 @@
   }
   job &Job = accept(Id, std::move(Event), Digest);
   Job.Late = Kind == admission_kind::Late;
-  if (State.Classes[Job.Class].Spec.Idempotent) {
+  // A caller that allows its tasks to run again needs no claim.
+  if (State.Classes[Job.Class].Spec.Idempotent || Job.Repeatable) {
     activate(Job);
     return;
   }
@@ -164,10 +203,15 @@
   if (Event.Job.Deadline) {
     Job.Deadline = Job.Arrival + *Event.Job.Deadline;
   }
+  Job.Repeatable = Event.Job.Repeatable;
+  State.Jobs.setCaller(Job, std::move(Event.Job.CallerId));
+  const class_spec &Class = State.Classes[Job.Class].Spec;
   Job.Tasks.resize(Event.Job.Tasks.size());
   for (std::size_t Index = 0; Index < Job.Tasks.size(); ++Index) {
-    Job.Tasks[Index].Bytes = std::move(Event.Job.Tasks[Index].Input);
-    Job.Tasks[Index].DeclaredRunTime = Event.Job.Tasks[Index].DeclaredRunTime;
+    task_request &Asked = Event.Job.Tasks[Index];
+    Job.Tasks[Index].Bytes = std::move(Asked.Input);
+    Job.Tasks[Index].DeclaredRunTime = Asked.DeclaredRunTime;
+    Job.Tasks[Index].Needs = needsOf(Asked, Class);
   }
   const auto Count = static_cast<std::uint32_t>(Job.Tasks.size());
   Job.Waiting = Count;
@@ -176,6 +220,18 @@
   return Job;
 }
 
+task_needs job_manager::needsOf(const task_request &Task,
+                                const class_spec &Class) const {
+  task_needs Needs = Task.Needs;
+  if (Needs.MemoryBytes == 0) {
+    Needs.MemoryBytes = Class.MemoryBytes;
+  }
+  if (Needs.Accelerators == 0) {
+    Needs.Accelerators = Class.Accelerators;
+  }
+  return Needs;
+}
+
 void job_manager::activate(job &Job) {
   work_class &Class = State.Classes[Job.Class];
   ++Class.Counters.Accepted;
@@ -437,11 +493,11 @@
   work_class &Class = State.Classes[Job.Class];
   ++(Completed ? Class.Counters.Completed : Class.Counters.Failed);
   const bool Missed =
-      Completed && State.now() - Job.Arrival > Class.Spec.AnswerWithin;
+      Completed && State.now() - Job.Arrival > Class.getTarget();
   Class.Counters.Missed += Missed ? 1 : 0;
   // A job with a task that runs longer than the target misses it without any
   // wait, and no refusal or order of other jobs could help it.
-  const bool Avoidable = Job.LongestRunTime < Class.Spec.AnswerWithin;
+  const bool Avoidable = Job.LongestRunTime < Class.getTarget();
   Admission.noteAnswer(Job.Class, Missed && Avoidable);
 }
 
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -1,5 +1,7 @@
 #include "job_table.h"
 
+#include <utility>
+
 namespace crocuswood::entry {
 
 job_table::job_table(incarnation Self) : Self(Self) {}
@@ -19,6 +21,7 @@
 void job_table::remove(job &Job) {
   clearTimer(Job);
   releaseRequest(Job);
+  Callers.erase(Job.CallerId);
   Jobs.erase(Job.Id.Sequence);
 }
 
@@ -38,6 +41,24 @@
   return find({.Entry = Self, .Sequence = Place->second});
 }
 
+job *job_table::findCaller(const std::string &CallerId) {
+  const auto Place = Callers.find(CallerId);
+  return Place == Callers.end() ? nullptr : Jobs.at(Place->second).get();
+}
+
+void job_table::setCaller(job &Job, std::string CallerId) {
+  Job.CallerId = std::move(CallerId);
+  if (!Job.CallerId.empty()) {
+    Callers[Job.CallerId] = Job.Id.Sequence;
+  }
+}
+
+void job_table::rebind(job &Job, request_id Request) {
+  releaseRequest(Job);
+  Job.Request = Request;
+  Requests[static_cast<std::uint64_t>(Request)] = Job.Id.Sequence;
+}
+
 void job_table::releaseRequest(const job &Job) {
   const auto Place = Requests.find(static_cast<std::uint64_t>(Job.Request));
   if (Place != Requests.end() && Place->second == Job.Id.Sequence) {
--- a/packages/entry/src/job_table.h
+++ b/packages/entry/src/job_table.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -29,6 +30,12 @@
   job *find(const job_id &Id);
   /// \returns the job whose caller still waits for its answer, or null.
   job *findRequest(request_id Request);
+  /// \returns the job with the caller's id \p CallerId, or null.
+  job *findCaller(const std::string &CallerId);
+  /// Sets the caller's id of \p Job, by which it is found.
+  void setCaller(job &Job, std::string CallerId);
+  /// From now on \p Request waits for the answer of \p Job.
+  void rebind(job &Job, request_id Request);
   /// Forgets the request of \p Job after its answer.
   void releaseRequest(const job &Job);
 
@@ -46,6 +53,7 @@
   std::uint64_t LastSequence = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<job>> Jobs;
   std::unordered_map<std::uint64_t, std::uint64_t> Requests;
+  std::unordered_map<std::string, std::uint64_t> Callers;
   std::set<std::pair<instant, std::uint64_t>> Timers;
 };
 
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -17,7 +17,9 @@
 
 bool isHeartbeat(const peer_message &Message) {
   return std::holds_alternative<companion_heartbeat>(Message) ||
-         std::holds_alternative<entry_heartbeat>(Message);
+         std::holds_alternative<entry_heartbeat>(Message) ||
+         std::holds_alternative<lease_request>(Message) ||
+         std::holds_alternative<lease_grant>(Message);
 }
 
 } // namespace
@@ -203,6 +205,11 @@
             State.Companions[Companion].ReportUnused = true;
             takeLoad(Companion, Report.Load);
           },
+          [&](lease_request &Request) {
+            companion_record &Record = State.Companions[Companion];
+            Record.LeaseStamp = Request.At;
+            Record.LeaseAsked = true;
+          },
           [&](configuration_push &Push) {
             companion_record &Record = State.Companions[Companion];
             Record.ConfigurationRevision = std::max(
@@ -273,7 +280,9 @@
 void link_manager::checkCompanion(companion_index Companion) {
   companion_record &Record = State.Companions[Companion];
   if (!Record.Link) {
-    if (State.now() - Record.LinkLostAt >= State.Options.LossLimit) {
+    const instant Since =
+        State.Options.GrantsLeases ? Record.GrantedAt : Record.LinkLostAt;
+    if (State.now() - Since >= State.Options.LossLimit) {
       Ends.loseAll(Companion,
                    "The companion had no link for too long with the task.");
       State.Companions.remove(Companion);
@@ -335,6 +344,11 @@
   recordPlacements(Companion);
   std::vector<peer_message> Messages =
       Record.Outbox.take(State.Queue.getCount());
+  if (Record.LeaseAsked) {
+    Record.LeaseAsked = false;
+    Record.GrantedAt = State.now();
+    Messages.emplace_back(lease_grant{.At = Record.LeaseStamp});
+  }
   for (const peer_message &Message : Messages) {
     ++(isHeartbeat(Message) ? State.Messages.Heartbeats : State.Messages.Sent);
     if (std::holds_alternative<withdraw_tasks>(Message)) {
--- a/packages/entry/src/placement_policy.h
+++ b/packages/entry/src/placement_policy.h
@@ -16,6 +16,7 @@
 /// What a policy may look at to place one task.
 struct placement_query {
   class_index Class = 0;
+  std::uint32_t Room = 0;    ///< That the task takes.
   std::uint32_t Waiting = 0; ///< Tasks that wait at the entry.
   const companion_table &Companions;
   /// Whether a companion may be given this very task.
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -47,6 +47,8 @@
     takeFailure(Companion, *Task, *Failed);
   } else if (const auto *Returned = std::get_if<task_not_started>(&End.End)) {
     takeReturn(Companion, *Task, Returned->Reason);
+  } else if (const auto *Stopped = std::get_if<task_stopped>(&End.End)) {
+    takeStop(Companion, *Task, Stopped->Reason);
   } else {
     takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
   }
@@ -102,9 +104,14 @@
                      .Peer = State.companionName(Companion),
                      .Code = toString(failure_code::TaskFailed),
                      .Reason = Failed.Reason});
-  release(Task, task_state::MayHaveRun);
   Health.noteFailed(Companion, Job.Class, Task.get().PlacedAt);
   Job.MayHaveRun = true;
+  const std::uint32_t Limit = State.Classes[Job.Class].Spec.MaxAttempts;
+  if (++Task.get().Failures < Limit && mayRepeat(Job)) {
+    repeat(Companion, Task, Failed.Reason);
+    return;
+  }
+  release(Task, task_state::MayHaveRun);
   Jobs.fail(Job, {.Code = failure_code::TaskFailed,
                   .Reason = "A task failed: " + Failed.Reason,
                   .Task = Task.Index});
@@ -148,6 +155,31 @@
   takeBack(Task);
 }
 
+void task_ends::takeStop(companion_index Companion, const task_ref &Task,
+                         const std::string &Reason) {
+  if (!mayRepeat(*Task.Job)) {
+    takeLoss(Companion, Task, Reason);
+    return;
+  }
+  Task.Job->MayHaveRun = true;
+  repeat(Companion, Task, Reason);
+}
+
+bool task_ends::mayRepeat(const job &Job) const {
+  return Job.Repeatable && Job.Phase == job_phase::Active;
+}
+
+void task_ends::repeat(companion_index Companion, const task_ref &Task,
+                       const std::string &Reason) {
+  State.Sink.recordTask(event_kind::TaskRepeated, Task.getId(),
+                        State.companionName(Companion), Reason);
+  Task.Job->GivenBack.push_back(
+      {.Task = Task.Index,
+       .Companion = Companion,
+       .Incarnation = State.Companions[Companion].Id.Incarnation});
+  takeBack(Task);
+}
+
 void task_ends::takeBack(const task_ref &Task) {
   release(Task, task_state::Waiting);
   State.Retries.add(Task.getId());
@@ -197,7 +229,11 @@
   takeBackUnwritten(Companion);
   while (!State.Companions[Companion].Outstanding.empty()) {
     const task_ref Task = State.Companions[Companion].Outstanding.back();
-    takeLoss(Companion, Task, Reason);
+    if (State.Options.GrantsLeases) {
+      takeStop(Companion, Task, Reason);
+    } else {
+      takeLoss(Companion, Task, Reason);
+    }
   }
 }
 
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -22,7 +22,8 @@
   void takeBackUnwritten(companion_index Companion);
   /// Notes that \p Task has started although its end is not known yet.
   void noteRunning(companion_index Companion, const task_id &Task);
-  /// Notes that the ends of all tasks on a companion will never be known.
+  /// Notes that the ends of all tasks on a companion will never be known. With
+  /// leases nothing of them runs any more.
   void loseAll(companion_index Companion, const std::string &Reason);
 
 private:
@@ -37,7 +38,14 @@
                   not_started_reason Reason);
   void takeLoss(companion_index Companion, const task_ref &Task,
                 const std::string &Reason);
+  void takeStop(companion_index Companion, const task_ref &Task,
+                const std::string &Reason);
   void takeBack(const task_ref &Task);
+  /// \returns whether \p Job allows another run of a task that has ended.
+  bool mayRepeat(const job &Job) const;
+  /// Lets a task whose run has ended wait for another companion.
+  void repeat(companion_index Companion, const task_ref &Task,
+              const std::string &Reason);
   void learnRoundTrip(companion_index Companion, const task &Task,
                       duration RunTime);
   void release(const task_ref &Task, task_state Next);
--- a/packages/entry/src/waiting_queue.cpp
+++ b/packages/entry/src/waiting_queue.cpp
@@ -44,11 +44,11 @@
   Count += Change;
   Lane.Count += Change;
   if (Job.Late) {
-    LateWork += Job.ExpectedRunTime * static_cast<std::int64_t>(Fresh) * Sign;
+    LateWork += Job.ExpectedWork * static_cast<std::int64_t>(Fresh) * Sign;
     return;
   }
   const std::uint32_t Share = std::min(Job.ShareLeft, Fresh);
-  Lane.Work += Job.ExpectedRunTime * static_cast<std::int64_t>(Share) * Sign;
+  Lane.Work += Job.ExpectedWork * static_cast<std::int64_t>(Share) * Sign;
 }
 
 void waiting_queue::add(job &Job, duration ExpectedRunTime) {
@@ -57,6 +57,10 @@
     Job.ShareLeft = ShareTasks;
   }
   Job.ExpectedRunTime = ExpectedRunTime;
+  const std::uint32_t MilliCores = Job.Tasks.front().Needs.MilliCores;
+  const std::uint32_t Room = MilliCores > 0 ? MilliCores : SlotRoom;
+  Job.ExpectedWork =
+      ExpectedRunTime * static_cast<std::int64_t>(Room) / SlotRoom;
   insert(Job);
   account(Job, 1);
 }
--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -42,36 +42,22 @@
 /// \returns the HTTP status that goes with an outcome.
 unsigned statusOf(const job_outcome &Outcome);
 
-/// Receives what callers ask for.
-class caller_events {
-public:
-  virtual ~caller_events() = default;
-  /// \returns false when the decisions can't take it now; the caller is told
-  /// `not_run`.
-  virtual bool jobSubmitted(request_id Request, job_request Job) = 0;
-  /// The caller sent DELETE or closed its connection. For DELETE the answer is
-  /// still due.
-  virtual void jobCancelled(request_id Request, bool CallerGone) = 0;
-};
-
 /// Serves `POST /v1/jobs` and `DELETE /v1/jobs/REFERENCE`, where REFERENCE is
 /// the value of the request header `Crocuswood-Reference` of the submission.
 /// Answers of one connection are written in the order of its requests.
-class caller_front {
+class caller_front : public caller_port {
 public:
   caller_front(boost::asio::io_context &Context, server_limits Limits,
                caller_events &Events);
-  ~caller_front();
-  checked<std::uint16_t> listen(const peer_address &Address);
-  /// Writes the answer of \p Request. Unknown requests are ignored: their
-  /// caller is gone. \returns whether a caller was still there.
-  bool answer(request_id Request, const job_answer &Answer);
-  /// Accepts no connection more, and answers new requests on open ones with
-  /// `stopping`.
-  void stopAccepting();
-  /// Calls \p Done when every answer has been written and every connection is
-  /// closed.
-  void drain(std::function<void()> Done);
+  ~caller_front() override;
+  checked<std::uint16_t> listen(const peer_address &Address) override;
+  bool answer(request_id Request, const job_answer &Answer) override;
+  /// Jobs name their classes, so the decisions alone need the configuration.
+  void setConfiguration(const configuration & /*Configuration*/) override {}
+  void announceStop() override;
+  /// Answers new requests on open connections with `stopping`.
+  void stopAccepting() override;
+  void drain(std::function<void()> Done) override;
   std::uint32_t getConnections() const;
 
 private:
@@ -88,6 +74,8 @@
   std::map<std::string, std::string> Query;
   std::map<std::string, std::string> Headers; ///< Names in lower case.
   std::string Body;
+  /// Of the request within its server; names it in plain_server::abandoned.
+  std::uint64_t Number = 0;
 };
 
 /// As the status of a plain_response: closes the connection without an answer.
@@ -106,12 +94,19 @@
 public:
   using respond = std::function<void(plain_response)>;
   using handler = std::function<void(plain_request, respond)>;
+  /// The peer has gone before the request of this number was answered.
+  using abandoned = std::function<void(std::uint64_t)>;
 
   plain_server(boost::asio::io_context &Context, server_limits Limits,
-               handler Handler);
+               handler Handler, abandoned Abandoned = nullptr);
   ~plain_server();
   checked<std::uint16_t> listen(const peer_address &Address);
+  /// Answers say from now on that their connection closes.
+  void announceStop();
   void stopAccepting();
+  /// Calls \p Done when every request has been answered and every connection
+  /// is closed.
+  void drain(std::function<void()> Done);
 
 private:
   class implementation;
--- a/packages/http/src/caller_front.cpp
+++ b/packages/http/src/caller_front.cpp
@@ -150,7 +150,7 @@
       Connection.respond(Slot, notAllowed("POST"));
       return;
     }
-    if (Server.isStopping()) {
+    if (!Server.isAccepting()) {
       Connection.respond(Slot, refusal({.Code = failure_code::Stopping,
                                         .Reason = "The entry is stopping.",
                                         .RetryAfter = RetryInterval}));
@@ -240,6 +240,8 @@
   return Impl->answer(Request, Answer);
 }
 
+void caller_front::announceStop() { Impl->getServer().announceStop(); }
+
 void caller_front::stopAccepting() { Impl->getServer().stopAccepting(); }
 
 void caller_front::drain(std::function<void()> Done) {
--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -66,9 +66,6 @@
 }
 
 void connection_server::stopAccepting() {
-  if (State.Stopping) {
-    return;
-  }
   State.Stopping = true;
   acceptWaiting();
   error_code Ignored;
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -32,9 +32,11 @@
   connection_server &operator=(const connection_server &) = delete;
 
   checked<std::uint16_t> listen(const peer_address &Address);
+  /// Answers say from now on that their connection closes.
+  void announceStop() { State.Stopping = true; }
   void stopAccepting();
   void drain(std::function<void()> Done);
-  bool isStopping() const { return State.Stopping; }
+  bool isAccepting() const { return Acceptor.is_open(); }
   std::uint32_t getConnections() const;
 
   void requestReceived(server_connection &Connection, slot_number Slot,
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -63,8 +63,9 @@
 class plain_server::implementation final : public request_handler {
 public:
   implementation(asio::io_context &Context, server_limits Limits,
-                 handler Handler)
-      : Handler(std::move(Handler)), Server(Context, Limits, *this) {}
+                 handler Handler, abandoned Abandoned)
+      : Handler(std::move(Handler)), Abandoned(std::move(Abandoned)),
+        Server(Context, Limits, *this) {}
 
   connection_server &getServer() { return Server; }
 
@@ -76,6 +77,8 @@
           Slot, badInput(StatusBadRequest, "The path or query is malformed."));
       return;
     }
+    Plain->Number = ++LastNumber;
+    Connection.tag(Slot, LastNumber);
     // A second call finds the slot answered and does nothing.
     Handler(std::move(*Plain), [Weak = Connection.weak_from_this(),
                                 Slot](plain_response Response) {
@@ -93,17 +96,23 @@
     return badInput(Status, Reason);
   }
 
-  void requestAbandoned(std::uint64_t) override {}
+  void requestAbandoned(std::uint64_t Number) override {
+    if (Abandoned) {
+      Abandoned(Number);
+    }
+  }
 
 private:
   handler Handler;
+  abandoned Abandoned;
+  std::uint64_t LastNumber = 0;
   connection_server Server;
 };
 
 plain_server::plain_server(asio::io_context &Context, server_limits Limits,
-                           handler Handler)
-    : Impl(std::make_unique<implementation>(Context, Limits,
-                                            std::move(Handler))) {}
+                           handler Handler, abandoned Abandoned)
+    : Impl(std::make_unique<implementation>(Context, Limits, std::move(Handler),
+                                            std::move(Abandoned))) {}
 
 plain_server::~plain_server() = default;
 
@@ -111,6 +120,12 @@
   return Impl->getServer().listen(Address);
 }
 
+void plain_server::announceStop() { Impl->getServer().announceStop(); }
+
 void plain_server::stopAccepting() { Impl->getServer().stopAccepting(); }
 
+void plain_server::drain(std::function<void()> Done) {
+  Impl->getServer().drain(std::move(Done));
+}
+
 } // namespace crocuswood::http
--- a/packages/model/include/crocuswood/model/configuration.h
+++ b/packages/model/include/crocuswood/model/configuration.h
@@ -24,10 +24,28 @@
       true; ///< If not, jobs need an idempotency key and run at most once.
   std::uint64_t MemoryBytes = 0;  ///< Memory that one task needs.
   std::uint32_t Accelerators = 0; ///< Accelerators that one task needs.
+  /// Classes with a smaller number go first, whatever the targets are.
+  std::uint32_t Priority = 0;
+  /// Runs of a task of a repeatable job that may fail before the job fails.
+  std::uint32_t MaxAttempts = 1;
+  /// Part of the target that depends on the tasks: `AnswerWithin` is extended
+  /// by this many times the run time of a task.
+  double RunTimeFactor = 0;
+  /// Endpoints that announce this name run the class; empty: its own name.
+  std::string Pool;
+  /// Where callers submit jobs of the class, if their interface addresses
+  /// classes by host and path. The longest matching prefix decides.
+  std::string Host;
+  std::string PathPrefix;
 
   friend auto operator<=>(const class_spec &, const class_spec &) = default;
 };
 
+/// \returns the name that endpoints announce to run \p Class.
+inline const std::string &poolOf(const class_spec &Class) {
+  return Class.Pool.empty() ? Class.Name : Class.Pool;
+}
+
 /// A team and its quota.
 struct team_spec {
   std::string Name;
--- a/packages/model/include/crocuswood/model/ids.h
+++ b/packages/model/include/crocuswood/model/ids.h
@@ -54,6 +54,20 @@
   }
 };
 
+/// One run of a task as a leased endpoint knows it.
+struct run_id {
+  std::string Job;           ///< Name of the job towards the endpoint.
+  std::uint32_t Task = 0;    ///< Position of the task in the job.
+  std::uint32_t Attempt = 1; ///< Grows with every start of the task.
+
+  friend bool operator==(const run_id &, const run_id &) = default;
+  friend std::strong_ordering operator<=>(const run_id &Left,
+                                          const run_id &Right) {
+    return std::tie(Left.Job, Left.Task, Left.Attempt) <=>
+           std::tie(Right.Job, Right.Task, Right.Attempt);
+  }
+};
+
 /// A connection to a peer process. Numbers are never used twice within one
 /// process.
 enum class link_id : std::uint64_t {};
@@ -68,6 +82,8 @@
 std::string toString(const job_id &Value);
 /// \returns `INCARNATION-SEQUENCE.INDEX`, as accepted by parseTaskId().
 std::string toString(const task_id &Value);
+/// \returns `JOB.TASK#ATTEMPT`.
+std::string toString(const run_id &Value);
 
 /// \returns nothing if \p Text is not what toString() writes.
 std::optional<incarnation> parseIncarnation(std::string_view Text);
--- a/packages/model/include/crocuswood/model/job.h
+++ b/packages/model/include/crocuswood/model/job.h
@@ -18,11 +18,23 @@
 /// Most tasks that one job may have.
 constexpr std::uint32_t MaxTasksPerJob = 1300;
 
+/// What one task takes of an endpoint. A member that is 0 is not stated: the
+/// class's need counts then, and without a stated processor the task takes one
+/// slot.
+struct task_needs {
+  std::uint32_t MilliCores = 0; ///< Thousandths of a core.
+  std::uint64_t MemoryBytes = 0;
+  std::uint32_t Accelerators = 0;
+
+  friend auto operator<=>(const task_needs &, const task_needs &) = default;
+};
+
 /// One task of a request.
 struct task_request {
   payload Input;
   std::optional<duration>
       DeclaredRunTime; ///< The caller's estimate; often far off.
+  task_needs Needs;
 
   friend bool operator==(const task_request &, const task_request &) = default;
 };
@@ -35,6 +47,12 @@
   std::optional<duration>
       Deadline; ///< Span from arrival after which the answer is useless.
   std::string IdempotencyKey; ///< Empty when none was given.
+  /// The caller's own id of the job; empty when none was given. A job that
+  /// arrives again under the id of one that still runs takes over its answer.
+  std::string CallerId;
+  /// The caller allows tasks to run again from the start, one run after the
+  /// other.
+  bool Repeatable = false;
 
   friend bool operator==(const job_request &, const job_request &) = default;
 };
@@ -60,6 +78,7 @@
   EndpointLost, ///< The endpoint or its companion was lost with the task on it.
   NotReady,     ///< The entry has no configuration yet.
   Stopping,     ///< The entry is shutting down.
+  Superseded,   ///< The caller has sent the job again.
 };
 
 /// \returns the code in snake case, such as `quota_exceeded`.
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -5,6 +5,7 @@
 
 #include <crocuswood/model/configuration.h>
 #include <crocuswood/model/ids.h>
+#include <crocuswood/model/job.h>
 #include <crocuswood/model/payload.h>
 #include <crocuswood/model/time.h>
 
@@ -21,7 +22,7 @@
 
 /// Version of the messages below. Peers with different versions refuse the
 /// link.
-constexpr std::uint32_t PeerProtocolVersion = 1;
+constexpr std::uint32_t PeerProtocolVersion = 2;
 
 /// How a peer process is reached.
 struct peer_address {
@@ -54,18 +55,32 @@
   std::uint32_t Slots = 0;          ///< Tasks that it runs at the same time.
   std::uint64_t MemoryBytes = 0;    ///< Memory for all slots together.
   std::uint32_t Accelerators = 0;   ///< Accelerators for all slots together.
+  /// Processor in thousandths of a core; 0 means that only slots count.
+  std::uint32_t MilliCores = 0;
 
   friend auto operator<=>(const endpoint_report &,
                           const endpoint_report &) = default;
 };
 
+/// Room of one slot where an endpoint counts slots. Where it counts processor,
+/// room is in thousandths of a core.
+constexpr std::uint32_t SlotRoom = 1'000;
+
+/// \returns the room of an endpoint for all its tasks together.
+std::uint32_t capacityOf(const endpoint_report &Endpoint);
+/// \returns the room that a task takes on \p Endpoint.
+std::uint32_t roomFor(const endpoint_report &Endpoint, const task_needs &Needs);
+
 /// Load of a companion over all entries.
 struct companion_load {
   std::uint64_t Sequence =
       0; ///< Grows with every change; a smaller one is outdated.
   std::uint32_t Running = 0; ///< Slots in use, orphaned tasks included.
   std::uint32_t Queued = 0;  ///< Tasks waiting for a slot.
-  duration QueuedRunTime{}; ///< Expected run time of the queued tasks together.
+  duration QueuedRunTime{}; ///< Expected run time of the queued tasks together,
+                            ///< each by the slots or cores that it takes.
+  std::uint32_t UsedRoom = 0;   ///< Room that running tasks take.
+  std::uint32_t QueuedRoom = 0; ///< Room that queued tasks will take.
 
   friend auto operator<=>(const companion_load &,
                           const companion_load &) = default;
@@ -123,6 +138,22 @@
                          const companion_heartbeat &) = default;
 };
 
+/// Asks the entry to vouch for its tasks from \p At on. A companion runs an
+/// entry's tasks only for a bounded time after the latest grant.
+struct lease_request {
+  duration At{}; ///< On the companion's own clock.
+
+  friend bool operator==(const lease_request &,
+                         const lease_request &) = default;
+};
+
+/// Answers the latest lease_request.
+struct lease_grant {
+  duration At{}; ///< As in the request.
+
+  friend bool operator==(const lease_grant &, const lease_grant &) = default;
+};
+
 /// The list of entries has changed.
 struct entry_list {
   std::vector<peer_address> Entries;
@@ -148,6 +179,14 @@
   std::optional<duration>
       Deadline;              ///< After this the task must not start any more.
   std::uint32_t Backlog = 0; ///< Tasks that still wait at the entry.
+  task_needs Needs;
+  std::string Pool;    ///< Endpoints that announce this name may run the task.
+  std::string RunName; ///< Name of the job towards the endpoint.
+  std::uint32_t Attempt = 1;  ///< Number of this start of the task, from 1.
+  std::uint32_t Priority = 0; ///< Smaller numbers go first.
+  /// A run that lasts longer is stopped, since another endpoint is likely to be
+  /// faster.
+  std::optional<duration> RunLimit;
 
   friend bool operator==(const place_task &, const place_task &) = default;
 };
@@ -179,6 +218,7 @@
   DeadlinePassed, ///< The deadline passed in the queue.
   Unknown, ///< The companion has never received the task and now never will run
            ///< it.
+  Refused, ///< The endpoint refused the start.
 };
 
 /// \returns the reason in snake case.
@@ -199,8 +239,17 @@
   friend bool operator==(const task_lost &, const task_lost &) = default;
 };
 
-using task_end =
-    std::variant<task_completed, task_failed, task_not_started, task_lost>;
+/// The task started and was ended before its time: by a stop, or with its
+/// endpoint or its lease. Nothing of it runs any more.
+struct task_stopped {
+  std::string Reason;
+  duration RunTime{};
+
+  friend bool operator==(const task_stopped &, const task_stopped &) = default;
+};
+
+using task_end = std::variant<task_completed, task_failed, task_not_started,
+                              task_lost, task_stopped>;
 
 /// A companion's last word on a task. It is kept until acknowledged.
 struct task_ended {
@@ -266,7 +315,8 @@
     std::variant<companion_hello, entry_hello, companion_heartbeat,
                  entry_heartbeat, entry_list, configuration_push,
                  endpoint_report, place_task, task_ended, withdraw_tasks,
-                 acknowledge_ends, resume_request, resume_reply, load_report>;
+                 acknowledge_ends, resume_request, resume_reply, load_report,
+                 lease_request, lease_grant>;
 
 /// Several messages written together, with the sender's hybrid time.
 struct peer_envelope {
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -30,6 +30,7 @@
                  ///< connection.
   AnswerDropped, ///< Job; the caller had gone away.
   CancelAsked,   ///< Job.
+  JobTakenOver,  ///< Job, Class, Key (the caller's id); it arrived again.
 
   TaskPlaced,      ///< Task, Class, Peer (companion); written to a link.
   TaskWithdrawn,   ///< Task, Peer; asked back.
@@ -37,6 +38,7 @@
   TaskResultTaken, ///< Task, Peer, Digest (of the output); the entry took the
                    ///< end.
   TaskResultStale, ///< Task, Peer; an end that matches nothing outstanding.
+  TaskRepeated,    ///< Task, Peer; its run there has ended and another follows.
   TaskUncertain,   ///< Task, Peer; the entry learned that it may have run.
 
   TaskQueued,     ///< Task, Class, Peer (entry).
@@ -47,6 +49,7 @@
   TaskFailed,     ///< Task, Value (run time in microseconds).
   TaskNotStarted, ///< Task.
   TaskLost,       ///< Task.
+  TaskStopped,    ///< Task, Value (run time in microseconds); ended early.
   EndpointRan, ///< Task, Class; written by the endpoint itself when it starts a
                ///< task.
 
--- a/packages/model/src/findings.cpp
+++ b/packages/model/src/findings.cpp
@@ -5,10 +5,10 @@
 std::string toString(const finding &Value) {
   std::string Text = Value.Source;
   if (Value.Line != 0) {
-    Text += ":" + std::to_string(Value.Line);
+    Text.append(1, ':').append(std::to_string(Value.Line));
   }
   if (Value.Line != 0 && Value.Column != 0) {
-    Text += ":" + std::to_string(Value.Column);
+    Text.append(1, ':').append(std::to_string(Value.Column));
   }
   if (!Text.empty()) {
     Text += ": ";
--- a/packages/model/src/ids.cpp
+++ b/packages/model/src/ids.cpp
@@ -54,6 +54,11 @@
   return toString(Value.Job) + "." + std::to_string(Value.Index);
 }
 
+std::string toString(const run_id &Value) {
+  return Value.Job + "." + std::to_string(Value.Task) + "#" +
+         std::to_string(Value.Attempt);
+}
+
 std::optional<incarnation> parseIncarnation(std::string_view Text) {
   if (Text.size() != IncarnationDigits) {
     return std::nullopt;
--- a/packages/model/src/job.cpp
+++ b/packages/model/src/job.cpp
@@ -7,16 +7,16 @@
 namespace {
 
 // In the order of failure_code.
-constexpr std::array<std::string_view, 16> CodeNames = {
+constexpr std::array<std::string_view, 17> CodeNames = {
     "invalid_request",   "unknown_class",     "unknown_team",
     "key_required",      "key_reused",        "earlier_attempt",
     "overloaded",        "quota_exceeded",    "no_endpoint",
     "store_unavailable", "deadline_exceeded", "cancelled",
     "task_failed",       "endpoint_lost",     "not_ready",
-    "stopping",
+    "stopping",          "superseded",
 };
 static_assert(CodeNames.size() ==
-              static_cast<std::size_t>(failure_code::Stopping) + 1);
+              static_cast<std::size_t>(failure_code::Superseded) + 1);
 
 std::uint64_t digestNumber(std::uint64_t Number, std::uint64_t Seed) {
   const char *Bytes = reinterpret_cast<const char *>(&Number);
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of event_kind.
-constexpr std::array<std::string_view, 45> KindNames = {
+constexpr std::array<std::string_view, 48> KindNames = {
     "process_started",
     "process_stopping",
     "process_stopped",
@@ -19,11 +19,13 @@
     "answer_sent",
     "answer_dropped",
     "cancel_asked",
+    "job_taken_over",
     "task_placed",
     "task_withdrawn",
     "task_returned",
     "task_result_taken",
     "task_result_stale",
+    "task_repeated",
     "task_uncertain",
     "task_queued",
     "task_duplicate",
@@ -32,6 +34,7 @@
     "task_failed",
     "task_not_started",
     "task_lost",
+    "task_stopped",
     "endpoint_ran",
     "link_opened",
     "link_silent",
--- a/packages/platform/include/crocuswood/platform.h
+++ b/packages/platform/include/crocuswood/platform.h
@@ -170,19 +170,29 @@
   instant LastNow;
 };
 
+/// Where the configuration comes from.
+class configuration_source {
+public:
+  /// The last step of a change: accepted, refused or not known.
+  using ended = std::function<void(const config::change_step &)>;
+
+  virtual ~configuration_source() = default;
+  /// Asks for the newest configuration.
+  virtual void poll() = 0;
+  virtual void change(config::change Change, const ended &Ended) = 0;
+};
+
 /// Reads the configuration and carries out operators' changes.
-class configuration_store {
+class configuration_store : public configuration_source {
 public:
   using read = std::function<void(const configuration &)>;
-  /// The last step of a config::change_runner.
-  using ended = std::function<void(const config::change_step &)>;
 
   /// \p Read is called with each configuration that differs from the last one
   /// read, and with each accepted change.
   configuration_store(table_service &Table, read Read);
 
-  void poll();
-  void change(config::change Change, const ended &Ended);
+  void poll() override;
+  void change(config::change Change, const ended &Ended) override;
 
 private:
   void carryOut(const std::shared_ptr<config::change_runner> &Runner,
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -166,6 +166,106 @@
   virtual void stop(const peer_address &Endpoint, const task_id &Task) = 0;
 };
 
+// Leased endpoints start and stop runs by order, list them, and end every run
+// whose lease is not renewed.
+
+/// Orders a leased endpoint to start a run.
+struct start_order {
+  run_id Run;
+  payload Input;
+  std::string Life; ///< Of the endpoint that is meant; another one refuses.
+  duration Lease{}; ///< For everything on the endpoint, from the sending on.
+
+  friend bool operator==(const start_order &, const start_order &) = default;
+};
+
+/// How an order to a leased endpoint ended.
+enum class order_status : std::uint8_t {
+  Done,       ///< Carried out.
+  Refused,    ///< Not carried out, and never will be.
+  NotReached, ///< Nothing was written to the endpoint.
+  Unknown,    ///< No usable answer; it may be carried out even later.
+};
+struct order_outcome {
+  order_status Status = order_status::Unknown;
+  std::string Reason; ///< Unless Done.
+};
+
+/// Asks for the runs of an endpoint, and may renew the lease of all of them.
+struct list_request {
+  std::uint64_t Acknowledged = 0; ///< Ends up to this number may be forgotten.
+  std::optional<duration> Lease;  ///< From the sending on; nothing renews none.
+  duration Wait{}; ///< The endpoint answers by then, or at the next end.
+
+  friend bool operator==(const list_request &, const list_request &) = default;
+};
+
+/// How a run ended.
+enum class run_result : std::uint8_t {
+  Completed,
+  Failed,
+  Stopped, ///< By an order.
+  Lapsed,  ///< Its lease was not renewed.
+};
+struct listed_end {
+  std::uint64_t Number = 0; ///< Grows from 1 within a life of the endpoint.
+  run_id Run;
+  run_result Result = run_result::Completed;
+
+  friend bool operator==(const listed_end &, const listed_end &) = default;
+};
+struct run_list {
+  std::string Life; ///< Of the endpoint that answered.
+  std::vector<run_id> Active;
+  std::vector<listed_end> Ended; ///< Not acknowledged yet, by number.
+
+  friend bool operator==(const run_list &, const run_list &) = default;
+};
+
+/// Gives orders to the leased endpoint beside this process.
+class leased_endpoint {
+public:
+  virtual ~leased_endpoint() = default;
+  virtual void start(start_order Order,
+                     std::function<void(order_outcome)> Done) = 0;
+  /// Stops \p Run. A run that has not begun is barred from beginning.
+  virtual void stop(const run_id &Run,
+                    std::function<void(order_outcome)> Done) = 0;
+  /// \p Done gets nothing if no usable answer came in time.
+  virtual void list(list_request Request,
+                    std::function<void(std::optional<run_list>)> Done) = 0;
+};
+
+/// Serves callers in the manner of one interface.
+class caller_port {
+public:
+  virtual ~caller_port() = default;
+  virtual checked<std::uint16_t> listen(const peer_address &Address) = 0;
+  /// Writes the answer of \p Request. Unknown requests are ignored: their
+  /// caller is gone. \returns whether a caller was still there.
+  virtual bool answer(request_id Request, const job_answer &Answer) = 0;
+  /// Takes the classes that callers may address from now on.
+  virtual void setConfiguration(const configuration &Configuration) = 0;
+  /// Asks callers to close their connections with the next answer.
+  virtual void announceStop() = 0;
+  /// Accepts no connection and no job any more.
+  virtual void stopAccepting() = 0;
+  /// Calls \p Done when every answer has been written and every connection is
+  /// closed.
+  virtual void drain(std::function<void()> Done) = 0;
+};
+
+/// Receives what callers ask for.
+class caller_events {
+public:
+  virtual ~caller_events() = default;
+  /// \returns false when the decisions can't take it now; the caller is told
+  /// `not_run`.
+  virtual bool jobSubmitted(request_id Request, job_request Job) = 0;
+  /// The caller has cancelled the job or closed its connection.
+  virtual void jobCancelled(request_id Request, bool CallerGone) = 0;
+};
+
 /// Receives the events of the time line.
 class timeline_sink {
 public:
--- /dev/null
+++ b/packages/runs/include/crocuswood/runs.h
@@ -0,0 +1,141 @@
+/// \file
+/// Public header of the package runs: follows the runs on a leased endpoint,
+/// whose orders may be lost, late or carried out after newer ones.
+///
+/// The supervisor is a state machine like the cores. Its caller feeds it
+/// commands, answers and the time, and carries out the steps it returns.
+#pragma once
+
+#include <crocuswood/companion.h>
+#include <crocuswood/model.h>
+#include <crocuswood/ports.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocuswood::runs {
+
+/// Settings of the supervisor.
+struct options {
+  /// How long runs go on without a renewal. Short, so that the runs of a
+  /// companion that has died end soon; long enough for three renewals.
+  duration Lease = std::chrono::milliseconds(500);
+  /// How long one listing waits for an end.
+  duration ListWait = std::chrono::milliseconds(150);
+  /// Between the starts of two listings of which the first failed.
+  duration ListRetry = std::chrono::milliseconds(50);
+  /// An endpoint that has not been listed for longer takes no new runs.
+  duration SilenceLimit = std::chrono::milliseconds(450);
+  /// A stop without effect is repeated after this.
+  duration StopRetry = std::chrono::milliseconds(80);
+  /// A run that is stopped and goes on for longer costs the endpoint its
+  /// lease, which ends the run for certain.
+  duration StopLimit = std::chrono::milliseconds(200);
+  /// Added to a lease before a run without renewal counts as ended: the
+  /// endpoint's clock may be slow by 2%, and killing takes time.
+  duration LeaseMargin = std::chrono::milliseconds(100);
+};
+
+// Steps for the caller.
+
+struct send_start {
+  start_order Order;
+};
+struct send_stop {
+  run_id Run;
+};
+struct send_list {
+  list_request Request;
+};
+/// Tells the companion's core.
+struct tell_core {
+  companion::event Event;
+};
+using step = std::variant<send_start, send_stop, send_list, tell_core>;
+
+/// Knows of every run whether it may still go on. A run is reported as ended
+/// only with proof: a listed end, a refusal, a listing from after a confirmed
+/// stop, or a lease that was not renewed.
+class supervisor {
+public:
+  supervisor(options Options, instant Now);
+
+  /// The core wants a run.
+  void start(instant Now, companion::start_task Start);
+  /// The core wants a run to end.
+  void stop(instant Now, const task_id &Task);
+  void takeStartOutcome(instant Now, const run_id &Run,
+                        const order_outcome &Outcome);
+  void takeStopOutcome(instant Now, const run_id &Run,
+                       const order_outcome &Outcome);
+  /// Takes the answer to the latest send_list, or nothing if none came.
+  void takeList(instant Now, const std::optional<run_list> &List);
+  /// The endpoint has announced itself with this life.
+  void noteLife(instant Now, const std::string &Life);
+  /// Does what time alone makes due.
+  void advance(instant Now);
+  /// \returns when advance() is due next.
+  instant getNextWake(instant Now) const;
+
+  /// \returns whether the endpoint may be given new runs.
+  bool isReady() const { return Settled && !Silent; }
+  /// \returns the steps since the last call.
+  std::vector<step> takeSteps();
+
+private:
+  enum class phase : std::uint8_t {
+    Ordered, ///< The start is on its way.
+    Started, ///< The endpoint has confirmed the start.
+    Unclear, ///< The start has no answer; it is being stopped.
+  };
+  struct run {
+    task_id Task;
+    phase Phase = phase::Ordered;
+    std::string Life;
+    instant OrderedAt;
+    std::optional<instant> ConfirmedAt; ///< Of the start.
+    std::optional<instant> StopAskedAt; ///< First stop.
+    std::optional<instant> StopSentAt;  ///< Latest stop.
+    std::optional<instant> StoppedAt;   ///< First confirmed stop.
+    bool Seen = false;                  ///< Listed as active.
+  };
+  using run_map = std::map<run_id, run>;
+
+  void sendStop(instant Now, const run_id &Id, run &Run);
+  void takeEnds(const run_list &List);
+  void takeEnd(const listed_end &End);
+  void checkMissing(const std::set<run_id> &Active);
+  void checkForeign(instant Now, const std::set<run_id> &Active);
+  void changeLife(const std::string &Life);
+  void settle();
+  /// Reports the end of a run that did not complete.
+  void endRun(run_map::iterator Place, const std::string &Reason);
+  void endAll(const std::string &Reason);
+  void checkSilence(instant Now);
+  void sendList(instant Now);
+  bool mayRenew(instant Now) const;
+  template <class Event> void tell(Event Value) {
+    Steps.emplace_back(tell_core{.Event = std::move(Value)});
+  }
+
+  options Options;
+  std::string Life; ///< Of the endpoint as last listed.
+  run_map Runs;
+  std::map<task_id, run_id> ByTask;
+  std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
+  std::uint64_t Acknowledged = 0;
+  bool Listing = false;
+  instant ListSentAt;
+  instant ListedAt;  ///< Of the latest answer.
+  instant RenewedAt; ///< The latest lease was sent.
+  bool Settled = false;
+  bool Silent = false;
+  std::vector<step> Steps;
+};
+
+} // namespace crocuswood::runs
--- /dev/null
+++ b/packages/runs/src/supervisor.cpp
@@ -0,0 +1,290 @@
+#include <crocuswood/runs.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::runs {
+
+supervisor::supervisor(options Options, instant Now)
+    // An earlier life of this companion may have renewed the lease just now.
+    : Options(Options), ListedAt(Now), RenewedAt(Now) {}
+
+std::vector<step> supervisor::takeSteps() { return std::exchange(Steps, {}); }
+
+void supervisor::start(instant Now, companion::start_task Start) {
+  const run_id Id{.Job = std::move(Start.RunName),
+                  .Task = Start.Task.Index,
+                  .Attempt = Start.Attempt};
+  if (!isReady()) {
+    tell(companion::run_refused{.Task = Start.Task,
+                                .Reason = "the endpoint does not answer"});
+    return;
+  }
+  if (Runs.contains(Id)) {
+    tell(companion::run_refused{.Task = Start.Task,
+                                .Reason = "this run goes on already"});
+    return;
+  }
+  Runs.emplace(Id, run{.Task = Start.Task, .Life = Life, .OrderedAt = Now});
+  ByTask[Start.Task] = Id;
+  RenewedAt = Now;
+  Steps.emplace_back(send_start{.Order = {.Run = Id,
+                                          .Input = std::move(Start.Input),
+                                          .Life = Life,
+                                          .Lease = Options.Lease}});
+}
+
+void supervisor::stop(instant Now, const task_id &Task) {
+  const auto Known = ByTask.find(Task);
+  if (Known == ByTask.end()) {
+    return;
+  }
+  run &Run = Runs.at(Known->second);
+  if (!Run.StopAskedAt) {
+    sendStop(Now, Known->second, Run);
+  }
+}
+
+void supervisor::sendStop(instant Now, const run_id &Id, run &Run) {
+  Run.StopAskedAt = Run.StopAskedAt.value_or(Now);
+  Run.StopSentAt = Now;
+  Steps.emplace_back(send_stop{.Run = Id});
+}
+
+void supervisor::takeStartOutcome(instant Now, const run_id &Id,
+                                  const order_outcome &Outcome) {
+  const auto Place = Runs.find(Id);
+  if (Place == Runs.end() || Place->second.Phase != phase::Ordered) {
+    return;
+  }
+  run &Run = Place->second;
+  switch (Outcome.Status) {
+  case order_status::Done:
+    Run.Phase = phase::Started;
+    Run.ConfirmedAt = Now;
+    return;
+  case order_status::Refused:
+  case order_status::NotReached:
+    endRun(Place, Outcome.Reason);
+    return;
+  case order_status::Unknown:
+    Run.Phase = phase::Unclear;
+    sendStop(Now, Id, Run);
+    return;
+  }
+}
+
+void supervisor::takeStopOutcome(instant Now, const run_id &Id,
+                                 const order_outcome &Outcome) {
+  const auto Place = Runs.find(Id);
+  if (Place == Runs.end() || Outcome.Status != order_status::Done) {
+    return;
+  }
+  Place->second.StoppedAt = Place->second.StoppedAt.value_or(Now);
+}
+
+void supervisor::takeList(instant Now, const std::optional<run_list> &List) {
+  Listing = false;
+  if (!List) {
+    // advance() asks again, so that refused connections are not tried in a
+    // tight loop.
+    checkSilence(Now);
+    return;
+  }
+  ListedAt = Now;
+  if (List->Life != Life) {
+    changeLife(List->Life);
+  }
+  takeEnds(*List);
+  const std::set<run_id> Active(List->Active.begin(), List->Active.end());
+  checkMissing(Active);
+  checkForeign(Now, Active);
+  if (Foreign.empty()) {
+    settle();
+  }
+  Silent = false;
+  sendList(Now);
+}
+
+void supervisor::takeEnds(const run_list &List) {
+  for (const listed_end &End : List.Ended) {
+    if (End.Number > Acknowledged) {
+      Acknowledged = End.Number;
+      takeEnd(End);
+    }
+  }
+}
+
+void supervisor::takeEnd(const listed_end &End) {
+  const auto Place = Runs.find(End.Run);
+  if (Place == Runs.end()) {
+    Foreign.erase(End.Run);
+    return;
+  }
+  const task_id Task = Place->second.Task;
+  Place->second.Seen = true;
+  switch (End.Result) {
+  case run_result::Completed:
+    tell(companion::run_completed{.Task = Task});
+    break;
+  case run_result::Failed:
+    tell(companion::run_failed{.Task = Task,
+                               .Reason = "the endpoint reported a failure"});
+    break;
+  case run_result::Stopped:
+    tell(companion::run_stopped{.Task = Task, .Reason = "stopped by order"});
+    break;
+  case run_result::Lapsed:
+    tell(companion::run_stopped{.Task = Task, .Reason = "its lease ended"});
+    break;
+  }
+  ByTask.erase(Task);
+  Runs.erase(Place);
+}
+
+void supervisor::checkMissing(const std::set<run_id> &Active) {
+  for (auto Place = Runs.begin(); Place != Runs.end();) {
+    const auto Each = Place++;
+    run &Run = Each->second;
+    if (Active.contains(Each->first)) {
+      Run.Seen = true;
+      continue;
+    }
+    // Only a listing that was asked for after the answer can prove anything.
+    const bool Confirmed = Run.ConfirmedAt && *Run.ConfirmedAt <= ListSentAt;
+    const bool Stopped = Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
+    // An order that arrives after the lease that it carries is refused.
+    const bool Expired =
+        Run.Phase == phase::Unclear &&
+        ListSentAt - Run.OrderedAt >= Options.Lease + Options.LeaseMargin;
+    if (Confirmed || Stopped || Expired) {
+      endRun(Each,
+             Stopped ? "stopped by order" : "the endpoint has no such run");
+    }
+  }
+}
+
+void supervisor::checkForeign(instant Now, const std::set<run_id> &Active) {
+  std::erase_if(Foreign,
+                [&](const auto &Item) { return !Active.contains(Item.first); });
+  for (const run_id &Id : Active) {
+    if (Runs.contains(Id)) {
+      continue;
+    }
+    const auto [Place, Added] = Foreign.try_emplace(Id, Now);
+    if (Added || Now - Place->second >= Options.StopRetry) {
+      Place->second = Now;
+      Steps.emplace_back(send_stop{.Run = Id});
+    }
+  }
+}
+
+void supervisor::noteLife(instant /*Now*/, const std::string &Announced) {
+  if (!Life.empty() && Announced != Life) {
+    changeLife(Announced);
+  }
+}
+
+void supervisor::changeLife(const std::string &Next) {
+  // A restarted endpoint runs nothing that was started before.
+  for (auto Place = Runs.begin(); Place != Runs.end();) {
+    const auto Each = Place++;
+    if (Each->second.Life != Next) {
+      endRun(Each, "the endpoint has restarted");
+    }
+  }
+  Life = Next;
+  Acknowledged = 0;
+  Foreign.clear();
+}
+
+void supervisor::settle() {
+  if (!Settled) {
+    Settled = true;
+    tell(companion::endpoint_settled{});
+  }
+}
+
+void supervisor::endRun(run_map::iterator Place, const std::string &Reason) {
+  const task_id Task = Place->second.Task;
+  const bool MayHaveBegun = Place->second.ConfirmedAt || Place->second.Seen;
+  ByTask.erase(Task);
+  Runs.erase(Place);
+  if (MayHaveBegun) {
+    tell(companion::run_stopped{.Task = Task, .Reason = Reason});
+  } else {
+    tell(companion::run_refused{.Task = Task, .Reason = Reason});
+  }
+}
+
+void supervisor::endAll(const std::string &Reason) {
+  while (!Runs.empty()) {
+    Runs.begin()->second.Seen = true;
+    endRun(Runs.begin(), Reason);
+  }
+}
+
+void supervisor::checkSilence(instant Now) {
+  if (!Silent && Now - ListedAt >= Options.SilenceLimit) {
+    Silent = true;
+    tell(companion::endpoint_silent{.Reason = "it does not list its runs"});
+  }
+  if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
+    return;
+  }
+  if (!Runs.empty()) {
+    endAll("its lease ended unseen");
+  }
+  // Nothing that an earlier life started can have a lease any more.
+  Foreign.clear();
+  settle();
+}
+
+bool supervisor::mayRenew(instant Now) const {
+  if (Runs.empty()) {
+    return false;
+  }
+  return std::ranges::none_of(Runs, [&](const auto &Item) {
+    const run &Run = Item.second;
+    return Run.StopAskedAt && Now - *Run.StopAskedAt >= Options.StopLimit;
+  });
+}
+
+void supervisor::sendList(instant Now) {
+  Listing = true;
+  ListSentAt = Now;
+  list_request Request{.Acknowledged = Acknowledged, .Wait = Options.ListWait};
+  // The endpoint's clock is not known before its first listing.
+  if (!Life.empty() && mayRenew(Now)) {
+    Request.Lease = Options.Lease;
+    RenewedAt = Now;
+  }
+  Steps.emplace_back(send_list{.Request = Request});
+}
+
+void supervisor::advance(instant Now) {
+  for (auto &[Id, Run] : Runs) {
+    if (Run.StopSentAt && Now - *Run.StopSentAt >= Options.StopRetry) {
+      sendStop(Now, Id, Run);
+    }
+  }
+  checkSilence(Now);
+  if (!Listing && Now - ListSentAt >= Options.ListRetry) {
+    sendList(Now);
+  }
+}
+
+instant supervisor::getNextWake(instant Now) const {
+  instant Next = Now + Options.ListWait;
+  if (!Listing) {
+    Next = std::min(Next, ListSentAt + Options.ListRetry);
+  }
+  for (const auto &[Id, Run] : Runs) {
+    if (Run.StopSentAt) {
+      Next = std::min(Next, *Run.StopSentAt + Options.StopRetry);
+    }
+  }
+  return std::max(Next, Now + std::chrono::milliseconds(1));
+}
+
+} // namespace crocuswood::runs
--- a/packages/settings/include/crocuswood/settings.h
+++ b/packages/settings/include/crocuswood/settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crocuswood::settings {
 
@@ -16,6 +17,21 @@
   std::string Form = "text";  ///< text or json.
 };
 
+/// Whose interfaces callers, endpoints and the platform speak.
+enum class interface_kind : std::uint8_t {
+  Own,  ///< Those that the documentation of this system describes.
+  Site, ///< Those of the sites' platform, by its adapter.
+};
+
+/// Leases by which work ends that nobody vouches for any more.
+struct lease_settings {
+  /// How long a companion runs an entry's tasks after the entry last vouched
+  /// for them. 0 turns leases off.
+  duration Entry{};
+  /// How long a leased endpoint runs tasks after its companion's last renewal.
+  duration Endpoint = std::chrono::milliseconds(500);
+};
+
 /// Settings that both roles have.
 struct process_settings {
   std::string Name;       ///< Of this process; unique in the system.
@@ -28,6 +44,8 @@
   duration PlatformPollInterval = std::chrono::seconds(2);
   duration HeartbeatInterval = std::chrono::milliseconds(500);
   duration SilenceLimit = std::chrono::seconds(2);
+  interface_kind Interface = interface_kind::Own;
+  lease_settings Lease;
 };
 
 struct entry_settings {
@@ -39,12 +57,15 @@
   std::uint32_t MaxConnections = 1'024;
   std::uint32_t MaxBodyBytes = 8U * 1024 * 1024;
   duration IdleLimit = std::chrono::seconds(60);
+  duration StopDelay{}; ///< A planned stop takes new jobs for this long.
 };
 
 struct companion_settings {
   process_settings Process;
   peer_address Announcements; ///< Where the endpoint announces itself.
   peer_address Balancer; ///< The platform's balancer in front of the entries.
+  std::vector<peer_address> Entries; ///< Known beforehand; may be outdated.
+  peer_address Orders;               ///< Where a leased endpoint takes orders.
   std::uint32_t MaxQueuedTasks = 1'024;
   duration EndpointTimeLimit = std::chrono::minutes(10);
 };
--- a/packages/settings/src/map_reader.cpp
+++ b/packages/settings/src/map_reader.cpp
@@ -96,6 +96,28 @@
   return true;
 }
 
+bool map_reader::readAddresses(const char *Key,
+                               std::vector<peer_address> &Target) {
+  const YAML::Node List = find(Key, presence::Optional);
+  if (!List.IsDefined()) {
+    return false;
+  }
+  if (!List.IsSequence()) {
+    addFault(Key, "A list of addresses is expected.");
+    return false;
+  }
+  for (const YAML::Node &Item : List) {
+    const auto Address =
+        Item.IsScalar() ? parsePeerAddress(Item.Scalar()) : std::nullopt;
+    if (!Address || Address->Port == 0) {
+      addFaultAt(Item.Mark(), Key, std::string(AddressForm));
+      continue;
+    }
+    Target.push_back(*Address);
+  }
+  return true;
+}
+
 void map_reader::readDuration(const char *Key, duration &Target,
                               bounds<duration> Bounds) {
   const auto Text = findScalar(Key, presence::Optional, DurationForm);
--- a/packages/settings/src/map_reader.h
+++ b/packages/settings/src/map_reader.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crocuswood::settings {
 
@@ -42,6 +43,9 @@
   /// \returns whether the key has a valid address.
   bool readAddress(const char *Key, peer_address &Target, presence Presence,
                    bool PortRequired = false);
+  /// Reads a list of addresses, which may be empty. \returns whether the key is
+  /// there.
+  bool readAddresses(const char *Key, std::vector<peer_address> &Target);
   void readDuration(const char *Key, duration &Target, bounds<duration> Bounds);
   void readNumber(const char *Key, std::uint32_t &Target,
                   bounds<std::uint32_t> Bounds);
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -18,6 +18,8 @@
 constexpr bounds<duration> HeartbeatBounds = {milliseconds(10), minutes(1)};
 constexpr bounds<duration> SilenceBounds = {milliseconds(50), minutes(10)};
 constexpr bounds<duration> PlatformPollBounds = {milliseconds(100), minutes(1)};
+constexpr bounds<duration> LeaseBounds = {milliseconds(0), minutes(1)};
+constexpr bounds<duration> StopDelayBounds = {milliseconds(0), minutes(10)};
 constexpr bounds<duration> IdleBounds = {seconds(1), hours(1)};
 constexpr bounds<duration> EndpointTimeBounds = {seconds(1), hours(24)};
 constexpr bounds<std::uint32_t> TimelineEventsBounds = {1'000, 10'000'000};
@@ -41,6 +43,18 @@
   Reader.finish();
 }
 
+void readLease(map_reader Reader, lease_settings &Target) {
+  Reader.readDuration("entry", Target.Entry, LeaseBounds);
+  Reader.readDuration("endpoint", Target.Endpoint, LeaseBounds);
+  Reader.finish();
+}
+
+void readInterface(map_reader &Reader, interface_kind &Target) {
+  std::string Name = "own";
+  Reader.readChoice("interface", Name, {"own", "site"});
+  Target = Name == "site" ? interface_kind::Site : interface_kind::Own;
+}
+
 void readProcess(map_reader &Reader, process_settings &Target) {
   Reader.readName("name", Target.Name, presence::Required);
   Reader.readName("zone", Target.Zone, presence::Required);
@@ -56,6 +70,8 @@
   Timeline.readText("file", Target.TimelineFile, presence::Optional);
   Timeline.finish();
   readIntervals(Reader.readMap("intervals"), Target);
+  readLease(Reader.readMap("lease"), Target.Lease);
+  readInterface(Reader, Target.Interface);
 }
 
 bool isAnyAddress(const peer_address &Address) {
@@ -84,6 +100,7 @@
   Limits.readNumber("connections", Target.MaxConnections, ConnectionsBounds);
   Limits.readByteSize("body_bytes", Target.MaxBodyBytes, BodyBytesBounds);
   Limits.readDuration("idle", Target.IdleLimit, IdleBounds);
+  Limits.readDuration("stop_delay", Target.StopDelay, StopDelayBounds);
   Limits.finish();
   return Target;
 }
@@ -92,7 +109,15 @@
   companion_settings Target;
   readProcess(Reader, Target.Process);
   Reader.readAddress("announcements", Target.Announcements, presence::Required);
-  Reader.readAddress("balancer", Target.Balancer, presence::Required, true);
+  const bool HasEntries = Reader.readAddresses("entries", Target.Entries);
+  Reader.readAddress("balancer", Target.Balancer,
+                     HasEntries ? presence::Optional : presence::Required,
+                     true);
+  Reader.readAddress("orders", Target.Orders,
+                     Target.Process.Interface == interface_kind::Site
+                         ? presence::Required
+                         : presence::Optional,
+                     true);
   map_reader Limits = Reader.readMap("limits");
   Limits.readNumber("queued_tasks", Target.MaxQueuedTasks, QueuedTasksBounds);
   Limits.readDuration("endpoint_time", Target.EndpointTimeLimit,
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -14,7 +14,7 @@
 // In the order of event_kind. `%peer`, `%key`, `%value`, `%span` and `%code`
 // are replaced by the event's fields; `%value` is a plain number, `%span` a
 // number of microseconds.
-constexpr std::array<std::string_view, 45> Happenings = {
+constexpr std::array<std::string_view, 48> Happenings = {
     "process started",
     "process is stopping",
     "process stopped",
@@ -26,11 +26,13 @@
     "answer sent to the caller",
     "answer dropped, since the caller had gone",
     "cancellation asked for",
+    "arrived again under the caller's id %key",
     "placed on companion %peer",
     "asked back from companion %peer",
     "given back by companion %peer without a start",
     "result taken from companion %peer",
     "late result from companion %peer ignored",
+    "run on companion %peer has ended early; it runs again",
     "may have run on companion %peer",
     "queued for entry %peer",
     "placed a second time by entry %peer and ignored",
@@ -39,6 +41,7 @@
     "failed after %span",
     "not started",
     "lost: its end will never be known",
+    "ended early after %span",
     "ran on the endpoint",
     "link to %peer opened",
     "link to %peer is silent",
--- a/packages/timeline/src/trace_writer.cpp
+++ b/packages/timeline/src/trace_writer.cpp
@@ -19,7 +19,7 @@
 
 bool endsTask(event_kind Kind) {
   return Kind == event_kind::TaskEnded || Kind == event_kind::TaskFailed ||
-         Kind == event_kind::TaskLost;
+         Kind == event_kind::TaskLost || Kind == event_kind::TaskStopped;
 }
 
 bool endsJob(event_kind Kind) {
--- a/packages/wire/src/schema.h
+++ b/packages/wire/src/schema.h
@@ -46,16 +46,17 @@
 };
 
 template <> struct schema<endpoint_report> {
-  static constexpr auto Members =
-      std::make_tuple(&endpoint_report::State, &endpoint_report::Classes,
-                      &endpoint_report::Slots, &endpoint_report::MemoryBytes,
-                      &endpoint_report::Accelerators);
+  static constexpr auto Members = std::make_tuple(
+      &endpoint_report::State, &endpoint_report::Classes,
+      &endpoint_report::Slots, &endpoint_report::MemoryBytes,
+      &endpoint_report::Accelerators, &endpoint_report::MilliCores);
 };
 
 template <> struct schema<companion_load> {
   static constexpr auto Members =
       std::make_tuple(&companion_load::Sequence, &companion_load::Running,
-                      &companion_load::Queued, &companion_load::QueuedRunTime);
+                      &companion_load::Queued, &companion_load::QueuedRunTime,
+                      &companion_load::UsedRoom, &companion_load::QueuedRoom);
 };
 
 template <> struct schema<companion_hello> {
@@ -85,6 +86,14 @@
       &entry_heartbeat::LeavingSeen);
 };
 
+template <> struct schema<lease_request> {
+  static constexpr auto Members = std::make_tuple(&lease_request::At);
+};
+
+template <> struct schema<lease_grant> {
+  static constexpr auto Members = std::make_tuple(&lease_grant::At);
+};
+
 template <> struct schema<entry_list> {
   static constexpr auto Members = std::make_tuple(&entry_list::Entries);
 };
@@ -93,7 +102,10 @@
   static constexpr auto Members = std::make_tuple(
       &class_spec::Name, &class_spec::AnswerWithin, &class_spec::Quantile,
       &class_spec::RefuseAtMost, &class_spec::Idempotent,
-      &class_spec::MemoryBytes, &class_spec::Accelerators);
+      &class_spec::MemoryBytes, &class_spec::Accelerators,
+      &class_spec::Priority, &class_spec::MaxAttempts,
+      &class_spec::RunTimeFactor, &class_spec::Pool, &class_spec::Host,
+      &class_spec::PathPrefix);
 };
 
 template <> struct schema<team_spec> {
@@ -112,11 +124,19 @@
       std::make_tuple(&configuration_push::Configuration);
 };
 
-template <> struct schema<place_task> {
+template <> struct schema<task_needs> {
   static constexpr auto Members =
-      std::make_tuple(&place_task::Task, &place_task::Class, &place_task::Input,
-                      &place_task::Slack, &place_task::ExpectedRunTime,
-                      &place_task::Deadline, &place_task::Backlog);
+      std::make_tuple(&task_needs::MilliCores, &task_needs::MemoryBytes,
+                      &task_needs::Accelerators);
+};
+
+template <> struct schema<place_task> {
+  static constexpr auto Members = std::make_tuple(
+      &place_task::Task, &place_task::Class, &place_task::Input,
+      &place_task::Slack, &place_task::ExpectedRunTime, &place_task::Deadline,
+      &place_task::Backlog, &place_task::Needs, &place_task::Pool,
+      &place_task::RunName, &place_task::Attempt, &place_task::Priority,
+      &place_task::RunLimit);
 };
 
 template <> struct schema<task_completed> {
@@ -137,6 +157,11 @@
   static constexpr auto Members = std::make_tuple(&task_lost::Reason);
 };
 
+template <> struct schema<task_stopped> {
+  static constexpr auto Members =
+      std::make_tuple(&task_stopped::Reason, &task_stopped::RunTime);
+};
+
 template <> struct schema<task_ended> {
   static constexpr auto Members =
       std::make_tuple(&task_ended::Task, &task_ended::End, &task_ended::Load);
@@ -180,7 +205,7 @@
 };
 
 template <> struct last_enumerator<not_started_reason> {
-  static constexpr not_started_reason Value = not_started_reason::Unknown;
+  static constexpr not_started_reason Value = not_started_reason::Refused;
 };
 
 template <> struct last_enumerator<task_place> {
--- /dev/null
+++ b/programs/crocuswoodd/adapters.cpp
@@ -0,0 +1,88 @@
+#include "adapters.h"
+
+#include "leased_endpoint_duty.h"
+#include "log.h"
+#include "plain_endpoint_duty.h"
+
+#include <crocuswood/http.h>
+#include <crocuswood/site.h>
+
+namespace crocuswood::daemon {
+
+namespace {
+
+using settings::interface_kind;
+
+http::server_limits makeFrontLimits(const settings::entry_settings &Settings) {
+  return {.MaxConnections = Settings.MaxConnections,
+          .MaxBodyBytes = Settings.MaxBodyBytes,
+          .IdleLimit = Settings.IdleLimit};
+}
+
+void logFaults(const findings &Faults) {
+  for (const finding &Fault : Faults) {
+    log(log_level::Warn, "configuration", toString(Fault));
+  }
+}
+
+} // namespace
+
+open_front chooseFront(const settings::entry_settings &Settings) {
+  const http::server_limits Limits = makeFrontLimits(Settings);
+  const bool IsSite = Settings.Process.Interface == interface_kind::Site;
+  return
+      [Limits, IsSite](boost::asio::io_context &Context,
+                       caller_events &Events) -> std::unique_ptr<caller_port> {
+        if (IsSite) {
+          return std::make_unique<site::queue_front>(Context, Limits, Events);
+        }
+        return std::make_unique<http::caller_front>(Context, Limits, Events);
+      };
+}
+
+platform_adapters choosePlatform(const settings::process_settings &Settings) {
+  const peer_address Address = Settings.Platform;
+  if (Settings.Interface == interface_kind::Site) {
+    return {
+        .OpenTable =
+            [Address](boost::asio::io_context &Context,
+                      duration CallLimit) -> std::unique_ptr<table_service> {
+          return std::make_unique<site::row_store>(Context, Address, CallLimit);
+        },
+        .OpenConfiguration = [](table_service &Table,
+                                std::function<void(const configuration &)> Read)
+            -> std::unique_ptr<platform::configuration_source> {
+          return std::make_unique<site::operator_configuration>(
+              Table, std::move(Read), logFaults);
+        }};
+  }
+  return {
+      .OpenTable =
+          [Address](boost::asio::io_context &Context,
+                    duration CallLimit) -> std::unique_ptr<table_service> {
+        return std::make_unique<http::platform_client>(Context, Address,
+                                                       CallLimit);
+      },
+      .OpenConfiguration = [](table_service &Table,
+                              std::function<void(const configuration &)> Read)
+          -> std::unique_ptr<platform::configuration_source> {
+        return std::make_unique<platform::configuration_store>(Table,
+                                                               std::move(Read));
+      }};
+}
+
+std::unique_ptr<endpoint_duty>
+openEndpoint(const settings::companion_settings &Settings, rings::duty &Duty,
+             const clock_port &Clock, rings::ring<endpoint_item> &ToDecisions,
+             rings::ring<endpoint_command> &FromDecisions) {
+  if (Settings.Process.Interface == interface_kind::Site) {
+    return std::make_unique<leased_endpoint_duty>(
+        Duty, Clock, Settings.Orders,
+        runs::options{.Lease = Settings.Process.Lease.Endpoint}, ToDecisions,
+        FromDecisions);
+  }
+  return std::make_unique<plain_endpoint_duty>(Duty, Settings.EndpointTimeLimit,
+                                               ToDecisions, FromDecisions);
+}
+
+} // namespace crocuswood::daemon
--- a/programs/crocuswoodd/companion_daemon.cpp
+++ b/programs/crocuswoodd/companion_daemon.cpp
@@ -1,5 +1,6 @@
 #include "companion_daemon.h"
 
+#include "adapters.h"
 #include "companion_decisions.h"
 #include "daemon.h"
 #include "endpoint_duty.h"
@@ -12,6 +13,8 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
+#include <vector>
 
 namespace crocuswood::daemon {
 
@@ -24,15 +27,40 @@
 
 constexpr duration LinkDrainLimit = 10s;
 
+// With leases an entry without a link has nothing running after a second or
+// two, so nothing is kept for it, and a planned stop waits no longer.
+constexpr duration LeasedLossLimit = 2s;
+// Runners report every 1.5 s; two reports may be lost.
+constexpr duration RunnerSilenceLimit = 5s;
+
+// The balancer, where there is one, and the entries known beforehand.
+std::vector<peer_address>
+listBootstrap(const settings::companion_settings &Settings) {
+  std::vector<peer_address> Addresses = Settings.Entries;
+  if (Settings.Balancer.Port != 0) {
+    Addresses.push_back(Settings.Balancer);
+  }
+  return Addresses;
+}
+
 companion::options makeOptions(const settings::companion_settings &Settings,
                                incarnation Life) {
+  const bool HasLeases = Settings.Process.Lease.Entry > duration::zero();
+  const bool IsSite =
+      Settings.Process.Interface == settings::interface_kind::Site;
   return {.Self = {.Name = Settings.Process.Name, .Incarnation = Life},
           .Zone = Settings.Process.Zone,
           .Operators = Settings.Process.Operators,
           .Seed = static_cast<std::uint64_t>(Life),
-          .Bootstrap = {Settings.Balancer},
+          .Bootstrap = listBootstrap(Settings),
           .HeartbeatInterval = Settings.Process.HeartbeatInterval,
           .SilenceLimit = Settings.Process.SilenceLimit,
+          .EntryLossLimit =
+              HasLeases ? LeasedLossLimit : companion::options().EntryLossLimit,
+          .AnnouncementLimit = IsSite ? RunnerSilenceLimit
+                                      : companion::options().AnnouncementLimit,
+          .EntryLease = Settings.Process.Lease.Entry,
+          .AwaitEndpoint = IsSite,
           .MaxQueuedTasks = Settings.MaxQueuedTasks};
 }
 
@@ -47,11 +75,12 @@
   companion_process &operator=(const companion_process &) = delete;
 
   bool listen();
-  int run();
+  int run(const std::string &SettingsFile);
 
 private:
   void startDuties();
   void stopDuties();
+  void reload(const std::string &SettingsFile);
 
   const settings::companion_settings &Settings;
   system_clock Clock;
@@ -78,7 +107,7 @@
 
   std::promise<void> Finished;
   link_duty Links;
-  endpoint_duty Endpoint;
+  std::unique_ptr<endpoint_duty> Endpoint;
   companion_platform_duty Platform;
   observer_duty Observer;
   companion_decisions Decisions;
@@ -88,9 +117,10 @@
     const settings::companion_settings &Settings, incarnation Life)
     : Settings(Settings),
       Links(LinkThread, {}, LinksToDecisions, DecisionsToLinks),
-      Endpoint(EndpointThread, Settings.EndpointTimeLimit, EndpointToDecisions,
-               DecisionsToEndpoint),
-      Platform(PlatformThread, Clock, Settings.Process.Platform,
+      Endpoint(openEndpoint(Settings, EndpointThread, Clock,
+                            EndpointToDecisions, DecisionsToEndpoint)),
+      Platform(PlatformThread, Clock,
+               choosePlatform(Settings.Process).OpenTable,
                {.Poll = Settings.Process.PlatformPollInterval},
                PlatformToDecisions, HasEntry),
       Observer(ObserverThread,
@@ -109,7 +139,7 @@
 
 bool companion_process::listen() {
   const bool EndpointListens =
-      reportListening(Endpoint.listen(Settings.Announcements), "announcements",
+      reportListening(Endpoint->listen(Settings.Announcements), "announcements",
                       Settings.Announcements);
   const peer_address &Operators = Settings.Process.Operators;
   return reportListening(Observer.listen(Operators), "operators", Operators) &&
@@ -118,6 +148,7 @@
 
 void companion_process::startDuties() {
   Platform.start();
+  Endpoint->start();
   Decisions.attach();
   ObserverThread.start();
   DecisionThread.start();
@@ -134,10 +165,35 @@
   ObserverThread.stop();
 }
 
-int companion_process::run() {
+// Addresses are bound and time limits are agreed with peers at the start, so
+// most settings take effect at the next one.
+void companion_process::reload(const std::string &SettingsFile) {
+  const auto Text = readFile(SettingsFile);
+  if (!Text) {
+    log(log_level::Warn, "settings", SettingsFile + " cannot be read.");
+    return;
+  }
+  const auto Parsed = settings::parseCompanion(*Text, SettingsFile);
+  if (const auto *Faults = std::get_if<findings>(&Parsed)) {
+    log(log_level::Warn, "settings",
+        "The file has faults; the settings in force stay. " +
+            toString(*Faults));
+    return;
+  }
+  MainToDecisions.tryPush(entries_told{
+      .Entries = std::get<settings::companion_settings>(Parsed).Entries});
+  log(log_level::Info, "settings",
+      "Read again. New entries are dialled; other changes take effect at the "
+      "next start.");
+}
+
+int companion_process::run(const std::string &SettingsFile) {
   startDuties();
-  const bool Ended = waitForStop(
-      [this] { MainToDecisions.tryPush(stop_asked{}); }, Finished.get_future());
+  const bool Ended =
+      waitForStop({.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
+                   .Reload = [this, SettingsFile] { reload(SettingsFile); },
+                   .SettingsFile = SettingsFile},
+                  Finished.get_future());
   if (!Ended) {
     log(log_level::Warn, "companion",
         "A second signal ends the process before its tasks.");
@@ -154,12 +210,13 @@
 
 } // namespace
 
-int runCompanion(const settings::companion_settings &Settings) {
+int runCompanion(const settings::companion_settings &Settings,
+                 const std::string &SettingsFile) {
   companion_process Process(Settings, drawIncarnation());
   if (!Process.listen()) {
     return ExitFailed;
   }
-  return Process.run();
+  return Process.run(SettingsFile);
 }
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/companion_daemon.h
+++ b/programs/crocuswoodd/companion_daemon.h
@@ -4,9 +4,12 @@
 
 #include <crocuswood/settings.h>
 
+#include <string>
+
 namespace crocuswood::daemon {
 
 /// Runs a companion until a planned stop has ended. \returns the exit code.
-int runCompanion(const settings::companion_settings &Settings);
+int runCompanion(const settings::companion_settings &Settings,
+                 const std::string &SettingsFile);
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/companion_decisions.cpp
+++ b/programs/crocuswoodd/companion_decisions.cpp
@@ -57,6 +57,11 @@
              Item);
 }
 
+void companion_decisions::takeEntries(instant Now,
+                                      std::vector<peer_address> Entries) {
+  handle(Now, companion::bootstrap_changed{.Entries = std::move(Entries)});
+}
+
 void companion_decisions::takeStop(instant Now) {
   handle(Now, companion::stop_requested{});
 }
--- a/programs/crocuswoodd/daemon.cpp
+++ b/programs/crocuswoodd/daemon.cpp
@@ -7,7 +7,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <random>
+#include <sstream>
 #include <utility>
 
 namespace crocuswood::daemon {
@@ -35,8 +38,75 @@
       });
 }
 
+// How often the settings file is looked at.
+constexpr std::chrono::seconds WatchInterval{2};
+
+/// Looks at a file again and again, and calls a function when its content may
+/// have changed.
+class file_watch {
+public:
+  file_watch(boost::asio::io_context &Context, std::string File,
+             std::function<void()> Changed)
+      : Timer(Context), File(std::move(File)), Changed(std::move(Changed)),
+        Seen(look()) {
+    schedule();
+  }
+
+  /// Takes the content as changed.
+  void trigger() {
+    Seen = look();
+    Changed();
+  }
+
+private:
+  std::filesystem::file_time_type look() const {
+    std::error_code Error;
+    const auto Written = std::filesystem::last_write_time(File, Error);
+    // A file that is just being replaced is looked at again later.
+    return Error ? Seen : Written;
+  }
+
+  void schedule() {
+    Timer.expires_after(WatchInterval);
+    Timer.async_wait([this](const boost::system::error_code &Error) {
+      if (Error) {
+        return;
+      }
+      if (look() != Seen) {
+        trigger();
+      }
+      schedule();
+    });
+  }
+
+  boost::asio::steady_timer Timer;
+  std::string File;
+  std::function<void()> Changed;
+  std::filesystem::file_time_type Seen{};
+};
+
+void waitForHangup(boost::asio::signal_set &Hangups, file_watch &Watch) {
+  Hangups.async_wait([&](const boost::system::error_code &Error, int) {
+    if (Error) {
+      return;
+    }
+    Watch.trigger();
+    waitForHangup(Hangups, Watch);
+  });
+}
+
 } // namespace
 
+std::optional<std::string> readFile(const std::string &Name) {
+  std::ifstream File(Name);
+  if (!File) {
+    return std::nullopt;
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
 incarnation drawIncarnation() {
   constexpr unsigned HalfBits = 32;
   std::random_device Device;
@@ -68,17 +138,19 @@
   return Future.wait_for(Limit) == std::future_status::ready;
 }
 
-bool waitForStop(const std::function<void()> &OnStop,
-                 std::future<void> Finished) {
+bool waitForStop(const signal_handlers &Handlers, std::future<void> Finished) {
   boost::asio::io_context Context;
   boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  boost::asio::signal_set Hangups(Context, SIGHUP);
   boost::asio::steady_timer Timer(Context);
   const auto Shared = std::make_shared<std::future<void>>(std::move(Finished));
+  file_watch Watch(Context, Handlers.SettingsFile, Handlers.Reload);
+  waitForHangup(Hangups, Watch);
   Signals.async_wait([&](const boost::system::error_code &Error, int) {
     if (Error) {
       return;
     }
-    OnStop();
+    Handlers.Stop();
     pollFinished(Context, Timer, Shared);
     Signals.async_wait([&](const boost::system::error_code &SecondError, int) {
       if (!SecondError) {
--- a/programs/crocuswoodd/daemon.h
+++ b/programs/crocuswoodd/daemon.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace crocuswood::rings {
@@ -22,6 +23,9 @@
   ExitBadInput = 2, ///< Wrong command line or settings.
 };
 
+/// \returns the content of a file, or nothing if it can't be read.
+std::optional<std::string> readFile(const std::string &Name);
+
 /// \returns a new incarnation from the system's random source.
 incarnation drawIncarnation();
 
@@ -34,10 +38,17 @@
 bool runAndWait(rings::duty &Duty, duration Limit,
                 std::function<void(std::function<void()> Done)> Work);
 
-/// Waits for SIGTERM or SIGINT, calls \p OnStop, and returns when \p Finished
-/// is ready. A second signal makes it return at once. \returns whether \p
-/// Finished became ready.
-bool waitForStop(const std::function<void()> &OnStop,
-                 std::future<void> Finished);
+/// What the main thread does at signals and file changes.
+struct signal_handlers {
+  std::function<void()> Stop; ///< At SIGTERM and SIGINT.
+  /// At SIGHUP, and when the settings file has changed.
+  std::function<void()> Reload;
+  std::string SettingsFile; ///< Watched for changes.
+};
+
+/// Waits for SIGTERM or SIGINT and returns when \p Finished is ready after it.
+/// A second signal makes it return at once. \returns whether \p Finished
+/// became ready.
+bool waitForStop(const signal_handlers &Handlers, std::future<void> Finished);
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "entry_daemon.h"
 
+#include "adapters.h"
 #include "daemon.h"
 #include "entry_decisions.h"
 #include "front_duty.h"
@@ -9,6 +10,8 @@
 #include "platform_duty.h"
 #include "system_clock.h"
 
+#include <crocuswood/runs.h>
+
 #include <chrono>
 #include <future>
 
@@ -27,6 +30,17 @@
 constexpr duration PlatformDrainLimit = 40s;
 constexpr duration LinkDrainLimit = 10s;
 
+// What a companion may need, after an entry's lease, to end its runs: a stop
+// that has no effect costs the endpoint its lease.
+constexpr runs::options RunLimits;
+constexpr duration EndMargin = RunLimits.StopLimit + RunLimits.LeaseMargin;
+
+duration makeLossLimit(const settings::lease_settings &Lease) {
+  return Lease.Entry > duration::zero()
+             ? Lease.Entry + Lease.Endpoint + EndMargin
+             : entry::options().LossLimit;
+}
+
 entry::options makeOptions(const settings::entry_settings &Settings,
                            incarnation Life) {
   return {.Self = {.Name = Settings.Process.Name, .Incarnation = Life},
@@ -35,15 +49,12 @@
           .Seed = static_cast<std::uint64_t>(Life),
           .HeartbeatInterval = Settings.Process.HeartbeatInterval,
           .SilenceLimit = Settings.Process.SilenceLimit,
+          .LossLimit = makeLossLimit(Settings.Process.Lease),
+          .GrantsLeases = Settings.Process.Lease.Entry > duration::zero(),
+          .StopDelay = Settings.StopDelay,
           .MaxOutstandingTasks = Settings.MaxOutstandingTasks};
 }
 
-http::server_limits makeFrontLimits(const settings::entry_settings &Settings) {
-  return {.MaxConnections = Settings.MaxConnections,
-          .MaxBodyBytes = Settings.MaxBodyBytes,
-          .IdleLimit = Settings.IdleLimit};
-}
-
 platform::entry_row makeRow(const settings::entry_settings &Settings,
                             incarnation Life) {
   return {.Name = Settings.Process.Name,
@@ -62,11 +73,12 @@
   entry_process &operator=(const entry_process &) = delete;
 
   bool listen();
-  int run();
+  int run(const std::string &SettingsFile);
 
 private:
   void startDuties();
   void stopDuties();
+  void reload(const std::string &SettingsFile);
   void drain();
 
   const settings::entry_settings &Settings;
@@ -79,8 +91,7 @@
   rings::duty ObserverThread{"operators"};
 
   rings::ring<front_item> FrontToDecisions{JobRing, DecisionThread.getSignal()};
-  rings::ring<entry::answer_caller> DecisionsToFront{JobRing,
-                                                     FrontThread.getSignal()};
+  rings::ring<front_command> DecisionsToFront{JobRing, FrontThread.getSignal()};
   rings::ring<link_item> LinksToDecisions{LinkRing, DecisionThread.getSignal()};
   rings::ring<link_command> DecisionsToLinks{LinkRing, LinkThread.getSignal()};
   rings::ring<platform_item> PlatformToDecisions{SmallRing,
@@ -106,10 +117,10 @@
 
 entry_process::entry_process(const settings::entry_settings &Settings,
                              incarnation Life)
-    : Settings(Settings), Front(FrontThread, makeFrontLimits(Settings),
+    : Settings(Settings), Front(FrontThread, chooseFront(Settings),
                                 FrontToDecisions, DecisionsToFront),
       Links(LinkThread, {}, LinksToDecisions, DecisionsToLinks),
-      Platform(PlatformThread, Clock, Settings.Process.Platform,
+      Platform(PlatformThread, Clock, choosePlatform(Settings.Process),
                {.Poll = Settings.Process.PlatformPollInterval},
                makeRow(Settings, Life),
                {.ToDecisions = PlatformToDecisions,
@@ -161,10 +172,32 @@
   ObserverThread.stop();
 }
 
-int entry_process::run() {
+// Addresses are bound and time limits are agreed with peers at the start, so
+// most settings take effect at the next one.
+void entry_process::reload(const std::string &SettingsFile) {
+  const auto Text = readFile(SettingsFile);
+  if (!Text) {
+    log(log_level::Warn, "settings", SettingsFile + " cannot be read.");
+    return;
+  }
+  const auto Parsed = settings::parseEntry(*Text, SettingsFile);
+  if (const auto *Faults = std::get_if<findings>(&Parsed)) {
+    log(log_level::Warn, "settings",
+        "The file has faults; the settings in force stay. " +
+            toString(*Faults));
+    return;
+  }
+  log(log_level::Info, "settings",
+      "Read again. Changes take effect at the next start.");
+}
+
+int entry_process::run(const std::string &SettingsFile) {
   startDuties();
-  const bool Ended = waitForStop(
-      [this] { MainToDecisions.tryPush(stop_asked{}); }, Finished.get_future());
+  const bool Ended =
+      waitForStop({.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
+                   .Reload = [this, SettingsFile] { reload(SettingsFile); },
+                   .SettingsFile = SettingsFile},
+                  Finished.get_future());
   if (!Ended) {
     log(log_level::Warn, "entry",
         "A second signal ends the process before its jobs.");
@@ -198,12 +231,13 @@
 
 } // namespace
 
-int runEntry(const settings::entry_settings &Settings) {
+int runEntry(const settings::entry_settings &Settings,
+             const std::string &SettingsFile) {
   entry_process Process(Settings, drawIncarnation());
   if (!Process.listen()) {
     return ExitFailed;
   }
-  return Process.run();
+  return Process.run(SettingsFile);
 }
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/entry_daemon.h
+++ b/programs/crocuswoodd/entry_daemon.h
@@ -4,9 +4,12 @@
 
 #include <crocuswood/settings.h>
 
+#include <string>
+
 namespace crocuswood::daemon {
 
 /// Runs an entry until a planned stop has ended. \returns the exit code.
-int runEntry(const settings::entry_settings &Settings);
+int runEntry(const settings::entry_settings &Settings,
+             const std::string &SettingsFile);
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/entry_decisions.cpp
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -74,6 +74,7 @@
 }
 
 void entry_decisions::takeStop(instant Now) {
+  ToFront.push(stop_announced{});
   handle(Now, entry::stop_requested{});
 }
 
@@ -104,7 +105,11 @@
             ToPlatform.push(std::move(Settle));
           },
           [&](const entry::wake_at &Wake) { wakeAt(Wake.At); },
-          [](const entry::configuration_adopted &) {},
+          [&](entry::configuration_adopted &Adopted) {
+            ToFront.push(std::move(Adopted));
+          },
+          // The front refuses by itself once it stops accepting.
+          [](const entry::intake_closed &) {},
           [&](entry::record_event &Record) {
             getRecorder().record(std::move(Record.Event));
           },
--- a/programs/crocuswoodd/entry_decisions.h
+++ b/programs/crocuswoodd/entry_decisions.h
@@ -13,7 +13,7 @@
 /// Rings that only an entry's decisions are joined to.
 struct entry_rings {
   rings::ring<front_item> &FromFront;
-  rings::ring<entry::answer_caller> &ToFront;
+  rings::ring<front_command> &ToFront;
   rings::ring<platform_item> &FromPlatform;
   rings::ring<platform_command> &ToPlatform;
 };
@@ -45,7 +45,7 @@
 
   entry::core Core;
   entry_rings OwnRings;
-  outbox<entry::answer_caller> ToFront;
+  outbox<front_command> ToFront;
   outbox<platform_command> ToPlatform;
   std::vector<entry::action> Actions;
 };
--- a/programs/crocuswoodd/front_duty.cpp
+++ b/programs/crocuswoodd/front_duty.cpp
@@ -1,28 +1,30 @@
 #include "front_duty.h"
 
+#include "overloaded.h"
+
 #include <utility>
 
 namespace crocuswood::daemon {
 
-front_duty::front_duty(rings::duty &Duty, http::server_limits Limits,
+front_duty::front_duty(rings::duty &Duty, const open_front &OpenFront,
                        rings::ring<front_item> &ToDecisions,
-                       rings::ring<entry::answer_caller> &FromDecisions)
+                       rings::ring<front_command> &FromDecisions)
     : ToDecisions(ToDecisions), Ring(ToDecisions), FromDecisions(FromDecisions),
       Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
-      Front(Duty.getContext(), Limits, *this) {
-  Duty.setDrain([this] { takeAnswers(); });
+      Front(OpenFront(Duty.getContext(), *this)) {
+  Duty.setDrain([this] { takeCommands(); });
 }
 
 front_duty::~front_duty() = default;
 
 checked<std::uint16_t> front_duty::listen(const peer_address &Address) {
-  return Front.listen(Address);
+  return Front->listen(Address);
 }
 
 void front_duty::drain(std::function<void()> Done) {
-  takeAnswers();
-  Front.stopAccepting();
-  Front.drain(std::move(Done));
+  takeCommands();
+  Front->stopAccepting();
+  Front->drain(std::move(Done));
 }
 
 bool front_duty::jobSubmitted(request_id Request, job_request Job) {
@@ -43,11 +45,20 @@
   }
 }
 
-void front_duty::takeAnswers() {
-  entry::answer_caller Answer;
-  while (FromDecisions.tryPop(Answer)) {
-    // A caller that has gone was reported by jobCancelled() already.
-    Front.answer(Answer.Request, Answer.Answer);
+void front_duty::takeCommands() {
+  front_command Command;
+  while (FromDecisions.tryPop(Command)) {
+    std::visit(
+        overloaded{[&](const entry::answer_caller &Answer) {
+                     // A caller that has gone was reported by
+                     // jobCancelled() already.
+                     Front->answer(Answer.Request, Answer.Answer);
+                   },
+                   [&](const entry::configuration_adopted &Adopted) {
+                     Front->setConfiguration(Adopted.Configuration);
+                   },
+                   [&](const stop_announced &) { Front->announceStop(); }},
+        Command);
   }
 }
 
--- a/programs/crocuswoodd/front_duty.h
+++ b/programs/crocuswoodd/front_duty.h
@@ -2,24 +2,30 @@
 /// The callers' thread of an entry.
 #pragma once
 
+#include "asio.h"
 #include "items.h"
 #include "outbox.h"
 #include "retry_timer.h"
 
-#include <crocuswood/http.h>
+#include <crocuswood/ports.h>
 #include <crocuswood/rings.h>
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 
 namespace crocuswood::daemon {
 
-/// Joins http::caller_front to the decisions.
-class front_duty : private http::caller_events {
+/// Opens the front that callers connect to, on the context of its duty.
+using open_front = std::function<std::unique_ptr<caller_port>(
+    boost::asio::io_context &, caller_events &)>;
+
+/// Joins the callers' front to the decisions.
+class front_duty : private caller_events {
 public:
-  front_duty(rings::duty &Duty, http::server_limits Limits,
+  front_duty(rings::duty &Duty, const open_front &OpenFront,
              rings::ring<front_item> &ToDecisions,
-             rings::ring<entry::answer_caller> &FromDecisions);
+             rings::ring<front_command> &FromDecisions);
   ~front_duty() override;
 
   /// To be called before the duty starts.
@@ -31,13 +37,13 @@
 private:
   bool jobSubmitted(request_id Request, job_request Job) override;
   void jobCancelled(request_id Request, bool CallerGone) override;
-  void takeAnswers();
+  void takeCommands();
 
   outbox<front_item> ToDecisions;
   rings::ring<front_item> &Ring;
-  rings::ring<entry::answer_caller> &FromDecisions;
+  rings::ring<front_command> &FromDecisions;
   retry_timer Retry;
-  http::caller_front Front;
+  std::unique_ptr<caller_port> Front;
 };
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -50,6 +50,14 @@
 
 using front_item = std::variant<entry::job_submitted, entry::job_cancelled>;
 
+// Decisions to front.
+
+/// A planned stop has begun.
+struct stop_announced {};
+using front_command =
+    std::variant<entry::answer_caller, entry::configuration_adopted,
+                 stop_announced>;
+
 // Platform to decisions.
 
 /// The table service has stopped or begun to answer.
@@ -73,7 +81,9 @@
 using endpoint_item =
     std::variant<companion::endpoint_announced, companion::run_completed,
                  companion::run_failed, companion::run_not_reached,
-                 companion::run_lost>;
+                 companion::run_lost, companion::run_stopped,
+                 companion::run_refused, companion::endpoint_settled,
+                 companion::endpoint_silent>;
 using endpoint_command =
     std::variant<companion::start_task, companion::stop_task>;
 
@@ -98,7 +108,11 @@
 
 /// A planned stop was asked for.
 struct stop_asked {};
-using operators_item = std::variant<stop_asked>;
+/// The settings name these entries.
+struct entries_told {
+  std::vector<peer_address> Entries;
+};
+using operators_item = std::variant<stop_asked, entries_told>;
 
 // Decisions to operators.
 
--- /dev/null
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -0,0 +1,147 @@
+#include "leased_endpoint_duty.h"
+
+#include "overloaded.h"
+
+#include <utility>
+
+namespace crocuswood::daemon {
+
+namespace {
+
+// The core's events as the items of this duty's ring.
+endpoint_item toItem(companion::event Event) {
+  return std::visit(
+      [](auto &Each) -> endpoint_item {
+        using type = std::decay_t<decltype(Each)>;
+        if constexpr (std::is_constructible_v<endpoint_item, type>) {
+          return std::move(Each);
+        } else {
+          // The supervisor tells nothing else.
+          return companion::endpoint_silent{};
+        }
+      },
+      Event);
+}
+
+} // namespace
+
+leased_endpoint_duty::leased_endpoint_duty(
+    rings::duty &Duty, const clock_port &Clock, const peer_address &Orders,
+    runs::options Options, rings::ring<endpoint_item> &ToDecisions,
+    rings::ring<endpoint_command> &FromDecisions)
+    : Clock(Clock), ToDecisions(ToDecisions), FromDecisions(FromDecisions),
+      Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
+      Supervisor(Options, Clock.now()),
+      Runner(Duty.getContext(), Orders,
+             [this](companion::endpoint_announcement Announcement) {
+               takeAnnouncement(std::move(Announcement));
+             }),
+      Timer(Duty.getContext()) {
+  Duty.setDrain([this] { takeCommands(); });
+}
+
+checked<std::uint16_t>
+leased_endpoint_duty::listen(const peer_address &Address) {
+  return Runner.listen(Address);
+}
+
+void leased_endpoint_duty::start() { tick(); }
+
+void leased_endpoint_duty::tick() {
+  const instant Now = Clock.now();
+  Supervisor.advance(Now);
+  carryOut();
+  Timer.expires_after(Supervisor.getNextWake(Now) - Now);
+  Timer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      tick();
+    }
+  });
+}
+
+void leased_endpoint_duty::takeCommands() {
+  endpoint_command Command;
+  while (FromDecisions.tryPop(Command)) {
+    std::visit(overloaded{[&](companion::start_task &Start) {
+                            Supervisor.start(Clock.now(), std::move(Start));
+                          },
+                          [&](const companion::stop_task &Stop) {
+                            Supervisor.stop(Clock.now(), Stop.Task);
+                          }},
+               Command);
+  }
+  carryOut();
+}
+
+void leased_endpoint_duty::takeAnnouncement(
+    companion::endpoint_announcement Announcement) {
+  Supervisor.noteLife(Clock.now(), Announcement.Life);
+  Latest = std::move(Announcement);
+  Announced = false;
+  carryOut();
+}
+
+// An endpoint that does not answer is not announced, whatever it says of
+// itself. That it leaves is always passed on.
+void leased_endpoint_duty::announce() {
+  if (!Latest || Announced) {
+    return;
+  }
+  const bool Serves = Latest->Offer.State == endpoint_state::Serving;
+  if (!Serves || Supervisor.isReady()) {
+    Announced = true;
+    push(companion::endpoint_announced{.Announcement = *Latest});
+  }
+}
+
+void leased_endpoint_duty::carryOut() {
+  for (runs::step &Step : Supervisor.takeSteps()) {
+    carryOut(std::move(Step));
+  }
+  announce();
+}
+
+void leased_endpoint_duty::carryOut(runs::step Step) {
+  std::visit(
+      overloaded{[&](runs::send_start &Send) {
+                   const run_id Run = Send.Order.Run;
+                   Runner.start(std::move(Send.Order),
+                                [this, Run](const order_outcome &Outcome) {
+                                  Supervisor.takeStartOutcome(Clock.now(), Run,
+                                                              Outcome);
+                                  carryOut();
+                                });
+                 },
+                 [&](const runs::send_stop &Send) {
+                   Runner.stop(Send.Run, [this, Run = Send.Run](
+                                             const order_outcome &Outcome) {
+                     Supervisor.takeStopOutcome(Clock.now(), Run, Outcome);
+                     carryOut();
+                   });
+                 },
+                 [&](const runs::send_list &Send) {
+                   Runner.list(Send.Request,
+                               [this](const std::optional<run_list> &List) {
+                                 Supervisor.takeList(Clock.now(), List);
+                                 carryOut();
+                               });
+                 },
+                 [&](runs::tell_core &Tell) {
+                   if (std::holds_alternative<companion::endpoint_silent>(
+                           Tell.Event)) {
+                     // It is announced anew once it answers.
+                     Announced = false;
+                   }
+                   push(toItem(std::move(Tell.Event)));
+                 }},
+      Step);
+}
+
+void leased_endpoint_duty::push(endpoint_item Item) {
+  ToDecisions.push(std::move(Item));
+  if (ToDecisions.isBlocked()) {
+    Retry.arm();
+  }
+}
+
+} // namespace crocuswood::daemon
--- /dev/null
+++ b/programs/crocuswoodd/leased_endpoint_duty.h
@@ -0,0 +1,52 @@
+/// \file
+/// The endpoint's thread of a companion whose endpoint runs tasks under leases.
+#pragma once
+
+#include "asio.h"
+#include "endpoint_duty.h"
+#include "items.h"
+#include "outbox.h"
+#include "retry_timer.h"
+
+#include <crocuswood/ports.h>
+#include <crocuswood/rings.h>
+#include <crocuswood/runs.h>
+#include <crocuswood/site.h>
+
+#include <functional>
+#include <optional>
+
+namespace crocuswood::daemon {
+
+/// Carries out what runs::supervisor decides.
+class leased_endpoint_duty : public endpoint_duty {
+public:
+  leased_endpoint_duty(rings::duty &Duty, const clock_port &Clock,
+                       const peer_address &Orders, runs::options Options,
+                       rings::ring<endpoint_item> &ToDecisions,
+                       rings::ring<endpoint_command> &FromDecisions);
+
+  checked<std::uint16_t> listen(const peer_address &Address) override;
+  void start() override;
+
+private:
+  void takeCommands();
+  void takeAnnouncement(companion::endpoint_announcement Announcement);
+  void announce();
+  void tick();
+  void carryOut();
+  void carryOut(runs::step Step);
+  void push(endpoint_item Item);
+
+  const clock_port &Clock;
+  outbox<endpoint_item> ToDecisions;
+  rings::ring<endpoint_command> &FromDecisions;
+  retry_timer Retry;
+  runs::supervisor Supervisor;
+  site::runner Runner;
+  boost::asio::steady_timer Timer;
+  std::optional<companion::endpoint_announcement> Latest;
+  bool Announced = false; ///< Whether `Latest` was passed on.
+};
+
+} // namespace crocuswood::daemon
--- a/programs/crocuswoodd/main.cpp
+++ b/programs/crocuswoodd/main.cpp
@@ -10,10 +10,8 @@
 
 #include <csignal>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 #include <string>
 
 namespace {
@@ -71,26 +69,16 @@
   return Arguments;
 }
 
-std::optional<std::string> readFile(const std::string &Name) {
-  std::ifstream File(Name);
-  if (!File) {
-    std::cerr << Name << ": cannot be read\n";
-    return std::nullopt;
-  }
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 template <class Settings, class Run>
-int runWith(const checked<Settings> &Parsed, Run RunRole) {
+int runWith(const checked<Settings> &Parsed, const std::string &SettingsFile,
+            Run RunRole) {
   if (const auto *Faults = std::get_if<findings>(&Parsed)) {
     std::cerr << toString(*Faults);
     return ExitBadInput;
   }
   const auto &Valid = std::get<Settings>(Parsed);
   const log_setup Log(Valid.Process.Log);
-  return RunRole(Valid);
+  return RunRole(Valid, SettingsFile);
 }
 
 int run(int argc, char **argv) {
@@ -101,16 +89,17 @@
   }
   const std::optional<std::string> Text = readFile(Arguments->SettingsFile);
   if (!Text) {
+    std::cerr << Arguments->SettingsFile << ": cannot be read\n";
     return ExitBadInput;
   }
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   if (Arguments->Role == "entry") {
     return runWith(settings::parseEntry(*Text, Arguments->SettingsFile),
-                   runEntry);
+                   Arguments->SettingsFile, runEntry);
   }
   return runWith(settings::parseCompanion(*Text, Arguments->SettingsFile),
-                 runCompanion);
+                 Arguments->SettingsFile, runCompanion);
 }
 
 } // namespace
--- a/programs/crocuswoodd/metrics.cpp
+++ b/programs/crocuswoodd/metrics.cpp
@@ -77,7 +77,8 @@
     break;
   case event_kind::TaskEnded:
   case event_kind::TaskFailed:
-  case event_kind::TaskLost: {
+  case event_kind::TaskLost:
+  case event_kind::TaskStopped: {
     const auto Running = RunningClass.find(getTask(Event));
     if (Running != RunningClass.end()) {
       measure(RunTimes, Running->second, Event.Value);
--- a/programs/crocuswoodd/endpoint_duty.cpp
+++ b/programs/crocuswoodd/plain_endpoint_duty.cpp
@@ -1,4 +1,4 @@
-#include "endpoint_duty.h"
+#include "plain_endpoint_duty.h"
 
 #include "json_errors.h"
 #include "overloaded.h"
@@ -36,9 +36,10 @@
 
 } // namespace
 
-endpoint_duty::endpoint_duty(rings::duty &Duty, duration RunLimit,
-                             rings::ring<endpoint_item> &ToDecisions,
-                             rings::ring<endpoint_command> &FromDecisions)
+plain_endpoint_duty::plain_endpoint_duty(
+    rings::duty &Duty, duration RunLimit,
+    rings::ring<endpoint_item> &ToDecisions,
+    rings::ring<endpoint_command> &FromDecisions)
     : ToDecisions(ToDecisions), FromDecisions(FromDecisions),
       Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
       Announcements(Duty.getContext(), AnnouncementLimits,
@@ -50,12 +51,13 @@
   Duty.setDrain([this] { takeCommands(); });
 }
 
-checked<std::uint16_t> endpoint_duty::listen(const peer_address &Address) {
+checked<std::uint16_t>
+plain_endpoint_duty::listen(const peer_address &Address) {
   return Announcements.listen(Address);
 }
 
-void endpoint_duty::serve(const http::plain_request &Request,
-                          const http::plain_server::respond &Respond) {
+void plain_endpoint_duty::serve(const http::plain_request &Request,
+                                const http::plain_server::respond &Respond) {
   if (Request.Path != "/v1/announce") {
     Respond(makeError(404, "not_found", "There is only /v1/announce here."));
     return;
@@ -76,20 +78,19 @@
   Respond({.Status = 204});
 }
 
-void endpoint_duty::takeCommands() {
+void plain_endpoint_duty::takeCommands() {
   endpoint_command Command;
   while (FromDecisions.tryPop(Command)) {
-    std::visit(overloaded{[&](companion::start_task &Start) {
-                            start(std::move(Start));
-                          },
-                          [&](const companion::stop_task &Stop) {
-                            Endpoint.stop(Stop.Endpoint, Stop.Task);
-                          }},
-               Command);
+    std::visit(
+        overloaded{[&](companion::start_task &Start) { run(std::move(Start)); },
+                   [&](const companion::stop_task &Stop) {
+                     Endpoint.stop(Stop.Endpoint, Stop.Task);
+                   }},
+        Command);
   }
 }
 
-void endpoint_duty::start(companion::start_task Start) {
+void plain_endpoint_duty::run(companion::start_task Start) {
   const task_id Task = Start.Task;
   endpoint_call Call{.Task = Task,
                      .Class = std::move(Start.Class),
@@ -100,7 +101,7 @@
                });
 }
 
-void endpoint_duty::push(endpoint_item Item) {
+void plain_endpoint_duty::push(endpoint_item Item) {
   ToDecisions.push(std::move(Item));
   if (ToDecisions.isBlocked()) {
     Retry.arm();
--- a/programs/crocuswoodd/platform_duty.cpp
+++ b/programs/crocuswoodd/platform_duty.cpp
@@ -39,9 +39,12 @@
 
 } // namespace
 
-entry_platform_duty::entry_platform_duty(
-    rings::duty &Duty, const clock_port &Clock, const peer_address &Platform,
-    platform_schedule Schedule, platform::entry_row Self, joints Joints)
+entry_platform_duty::entry_platform_duty(rings::duty &Duty,
+                                         const clock_port &Clock,
+                                         const platform_adapters &Adapters,
+                                         platform_schedule Schedule,
+                                         platform::entry_row Self,
+                                         joints Joints)
     : Clock(Clock), Schedule(Schedule), Joints(Joints),
       ToDecisions(Joints.ToDecisions), ToObserver(Joints.ToObserver),
       Retry(Duty.getContext(),
@@ -49,17 +52,18 @@
               const bool Flushed = ToDecisions.flush();
               return ToObserver.flush() && Flushed;
             }),
-      Client(Duty.getContext(), Platform, Schedule.CallLimit),
-      Registry(Client, std::move(Self), Schedule.Lease,
+      Client(Adapters.OpenTable(Duty.getContext(), Schedule.CallLimit)),
+      Registry(*Client, std::move(Self), Schedule.Lease,
                [this](const std::vector<platform::entry_row> &Entries) {
                  takeEntries(Entries);
                }),
-      Store(Client,
-            [this](const configuration &Configuration) {
-              push(entry::configuration_read{.Configuration = Configuration});
-            }),
+      Store(Adapters.OpenConfiguration(
+          *Client,
+          [this](const configuration &Configuration) {
+            push(entry::configuration_read{.Configuration = Configuration});
+          })),
       Claims(
-          Client, {},
+          *Client, {},
           [this](entry::claim_answered Answer) { push(std::move(Answer)); },
           [this](const entry::claim_settled &Settled) { push(Settled); }),
       PollTimer(Duty.getContext()), RenewTimer(Duty.getContext()),
@@ -73,7 +77,7 @@
 }
 
 void entry_platform_duty::pollConfiguration() {
-  Store.poll();
+  Store->poll();
   noteStore();
   runAfter(PollTimer, Schedule.Poll, [this] { pollConfiguration(); });
 }
@@ -142,8 +146,8 @@
 
 void entry_platform_duty::changeConfiguration(change_asked Asked) {
   const request_id Request = Asked.Request;
-  Store.change(std::move(Asked.Change), [this, Request](
-                                            const config::change_step &Step) {
+  Store->change(std::move(Asked.Change), [this, Request](
+                                             const config::change_step &Step) {
     if (const auto *Accepted = std::get_if<config::change_accepted>(&Step)) {
       push(change_recorded{.Revision = Accepted->Configuration.Revision});
     }
@@ -173,13 +177,13 @@
 }
 
 companion_platform_duty::companion_platform_duty(
-    rings::duty &Duty, const clock_port &Clock, const peer_address &Platform,
+    rings::duty &Duty, const clock_port &Clock, const open_table &OpenTable,
     platform_schedule Schedule, rings::ring<platform_item> &ToDecisions,
     const std::atomic<bool> &HasEntry)
     : Clock(Clock), Schedule(Schedule), ToDecisions(ToDecisions),
       HasEntry(HasEntry),
-      Client(Duty.getContext(), Platform, Schedule.CallLimit),
-      Registry(Client, std::nullopt, Schedule.Lease,
+      Client(OpenTable(Duty.getContext(), Schedule.CallLimit)),
+      Registry(*Client, std::nullopt, Schedule.Lease,
                [this](const std::vector<platform::entry_row> &Entries) {
                  this->ToDecisions.push(
                      entry::entries_read{.Entries = getLinkAddresses(Entries)});
--- a/programs/crocuswoodd/platform_duty.h
+++ b/programs/crocuswoodd/platform_duty.h
@@ -2,17 +2,18 @@
 /// The platform's threads of both roles.
 #pragma once
 
+#include "asio.h"
 #include "items.h"
 #include "outbox.h"
 #include "retry_timer.h"
 
-#include <crocuswood/http.h>
 #include <crocuswood/platform.h>
 #include <crocuswood/ports.h>
 #include <crocuswood/rings.h>
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace crocuswood::daemon {
@@ -26,6 +27,20 @@
   duration ClaimTick = std::chrono::milliseconds(20); ///< Of retries of claims.
 };
 
+/// Opens the table service on the context of its duty.
+using open_table = std::function<std::unique_ptr<table_service>(
+    boost::asio::io_context &, duration CallLimit)>;
+/// Opens the source of the configuration, which tells what it reads.
+using open_configuration =
+    std::function<std::unique_ptr<platform::configuration_source>(
+        table_service &, std::function<void(const configuration &)>)>;
+
+/// The adapters to the platform that an entry uses.
+struct platform_adapters {
+  open_table OpenTable;
+  open_configuration OpenConfiguration;
+};
+
 /// Keeps what an entry has in the table service: its row, the configuration,
 /// claims.
 class entry_platform_duty {
@@ -39,8 +54,9 @@
   };
 
   entry_platform_duty(rings::duty &Duty, const clock_port &Clock,
-                      const peer_address &Platform, platform_schedule Schedule,
-                      platform::entry_row Self, joints Joints);
+                      const platform_adapters &Adapters,
+                      platform_schedule Schedule, platform::entry_row Self,
+                      joints Joints);
 
   /// Starts the regular calls; to be called before the duty starts.
   void start();
@@ -65,9 +81,9 @@
   outbox<platform_item> ToDecisions;
   outbox<change_item> ToObserver;
   retry_timer Retry;
-  http::platform_client Client;
+  std::unique_ptr<table_service> Client;
   platform::entry_registry Registry;
-  platform::configuration_store Store;
+  std::unique_ptr<platform::configuration_source> Store;
   platform::claim_writer Claims;
   boost::asio::steady_timer PollTimer;
   boost::asio::steady_timer RenewTimer;
@@ -82,7 +98,7 @@
 class companion_platform_duty {
 public:
   companion_platform_duty(rings::duty &Duty, const clock_port &Clock,
-                          const peer_address &Platform,
+                          const open_table &OpenTable,
                           platform_schedule Schedule,
                           rings::ring<platform_item> &ToDecisions,
                           const std::atomic<bool> &HasEntry);
@@ -100,7 +116,7 @@
   platform_schedule Schedule;
   outbox<platform_item> ToDecisions;
   const std::atomic<bool> &HasEntry;
-  http::platform_client Client;
+  std::unique_ptr<table_service> Client;
   platform::entry_registry Registry;
   boost::asio::steady_timer Timer;
   std::optional<instant> ReadAt;
--- a/programs/crocuswoodd/system_clock.cpp
+++ b/programs/crocuswoodd/system_clock.cpp
@@ -1,15 +1,28 @@
 #include "system_clock.h"
 
+#include <ctime>
+
 namespace crocuswood::daemon {
 
+namespace {
+
+// Unlike the steady clock it counts the time for which a VM is suspended.
+// Leases run on meanwhile, so the cores must see that time pass.
+duration readBootClock() {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+} // namespace
+
 system_clock::system_clock()
-    : SteadyStart(std::chrono::steady_clock::now()),
-      WallStart(wallMicroseconds()) {}
+    : BootStart(readBootClock()), WallStart(wallMicroseconds()) {}
 
 instant system_clock::now() const {
-  const auto Passed = std::chrono::steady_clock::now() - SteadyStart;
-  return instant(duration(WallStart) +
-                 std::chrono::duration_cast<duration>(Passed));
+  return instant(duration(WallStart) + (readBootClock() - BootStart));
 }
 
 std::int64_t system_clock::wallMicroseconds() const {
--- a/programs/crocuswoodd/system_clock.h
+++ b/programs/crocuswoodd/system_clock.h
@@ -17,7 +17,7 @@
   std::int64_t wallMicroseconds() const override;
 
 private:
-  std::chrono::steady_clock::time_point SteadyStart;
+  duration BootStart;
   std::int64_t WallStart;
 };
 
--- a/tests/entry/fake_fleet.cpp
+++ b/tests/entry/fake_fleet.cpp
@@ -22,9 +22,12 @@
 
 companion_load fake_fleet::loadOf(std::size_t Companion) {
   member &Member = Members[Companion];
+  const auto Queued = static_cast<std::uint32_t>(Member.Queue.size());
   return {.Sequence = ++Member.Sequence,
           .Running = Member.Running,
-          .Queued = static_cast<std::uint32_t>(Member.Queue.size())};
+          .Queued = Queued,
+          .UsedRoom = Member.Running * SlotRoom,
+          .QueuedRoom = Queued * SlotRoom};
 }
 
 void fake_fleet::pass(duration Span) {
--- a/tests/entry/load_test.cpp
+++ b/tests/entry/load_test.cpp
@@ -67,7 +67,9 @@
 TEST(Load, LoadOfOtherEntriesCounts) {
   Entry.connect(A, "runner-a");
   Entry.connect(B, "runner-b", 8, incarnation{2});
-  Entry.receive(A, {load_report{.Load = {.Sequence = 1, .Running = 7}}});
+  Entry.receive(
+      A, {load_report{
+             .Load = {.Sequence = 1, .Running = 7, .UsedRoom = 7 * SlotRoom}}});
   Entry.submit("fast", 4);
   CHECK_TRUE(Entry.placed(A).empty());
   CHECK_EQUAL(4U, Entry.placed(B).size());
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -17,7 +17,9 @@
   return {.Sequence = 300,
           .Running = 7,
           .Queued = 2,
-          .QueuedRunTime = std::chrono::milliseconds(450)};
+          .QueuedRunTime = std::chrono::milliseconds(450),
+          .UsedRoom = 11'200,
+          .QueuedRoom = 3'200};
 }
 
 inline endpoint_report makeReport() {
@@ -25,7 +27,8 @@
           .Classes = {"pivot-check", "dial-sweep"},
           .Slots = 8,
           .MemoryBytes = 1ULL << 36U,
-          .Accelerators = 2};
+          .Accelerators = 2,
+          .MilliCores = 16'000};
 }
 
 inline configuration makeConfiguration() {
@@ -39,7 +42,13 @@
                     .RefuseAtMost = 0.01,
                     .Idempotent = false,
                     .MemoryBytes = 1U << 20U,
-                    .Accelerators = 1}}},
+                    .Accelerators = 1,
+                    .Priority = 2,
+                    .MaxAttempts = 4,
+                    .RunTimeFactor = 1.6,
+                    .Pool = "taratura",
+                    .Host = "bench.example",
+                    .PathPrefix = "/pivot/"}}},
       // The writer packs real numbers without a fraction as integers.
       .Teams = {
           {"fraser", {.Name = "fraser", .TaskStartsPerSecond = 0}},
@@ -54,7 +63,15 @@
           .Slack = std::chrono::milliseconds(-3),
           .ExpectedRunTime = std::chrono::milliseconds(80),
           .Deadline = std::chrono::seconds(2),
-          .Backlog = 9};
+          .Backlog = 9,
+          .Needs = {.MilliCores = 1'600,
+                    .MemoryBytes = 1U << 26U,
+                    .Accelerators = 1},
+          .Pool = "taratura",
+          .RunName = "5c0e7a21d94b36f8",
+          .Attempt = 2,
+          .Priority = 1,
+          .RunLimit = std::chrono::milliseconds(400)};
 }
 
 inline task_ended makeEnd(std::uint32_t Index, task_end End) {
@@ -98,12 +115,16 @@
                                  .RunTime = std::chrono::seconds(1)}),
           makeEnd(3, task_not_started{.Reason = not_started_reason::Unknown}),
           makeEnd(4, task_lost{.Reason = "connection reset"}),
+          makeEnd(5, task_stopped{.Reason = "its lease ended",
+                                  .RunTime = std::chrono::seconds(2)}),
           withdraw_tasks{.Tasks = {makeTask(1), makeTask(1299)}},
           acknowledge_ends{.Tasks = {makeTask(3)}},
           resume_request{.Outstanding = {makeTask(5)}},
           resume_reply{.Standing = {{.Task = makeTask(5),
                                      .Place = task_place::Running}}},
           load_report{.Load = makeLoad()},
+          lease_request{.At = std::chrono::seconds(70)},
+          lease_grant{.At = std::chrono::seconds(69)},
       }};
 }
 
