Keep a cancelled request until its operation has let go of it

Ruled out: the supervisor of runs, by 400 random schedules under the address sanitizer. They, and the tests beside them, showed that a silent endpoint must not get renewals if its runs are to count as ended; mended too.

The new test of the client covers the pattern but passes on the old code as well: the order of the two events could not be forced over a real socket.

--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -156,6 +156,10 @@
     return;
   }
   auto Response = Parser->release();
+  // Nothing refers to these any more. After a failure they stay until the
+  // operation that was cancelled has let go of them.
+  Request = {};
+  Parser.reset();
   const bool KeepsOpen = Response.keep_alive() && Input.size() == 0;
   if (!KeepsOpen) {
     Connected = false;
@@ -177,8 +181,6 @@
   ++Exchange;
   Stage = stage::Idle;
   Timer.cancel();
-  Request = {};
-  Parser.reset();
   const done Then = std::exchange(Done, nullptr);
   Then(std::move(Reply));
 }
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -241,7 +241,9 @@
 }
 
 bool supervisor::mayRenew(instant Now) const {
-  if (Runs.empty()) {
+  // A renewal may arrive although no answer comes, so a silent endpoint gets
+  // none: its runs then end for certain.
+  if (Runs.empty() || Silent) {
     return false;
   }
   return std::ranges::none_of(Runs, [&](const auto &Item) {
--- a/scripts/sanitizers.sh
+++ b/scripts/sanitizers.sh
@@ -10,7 +10,7 @@
 run_under() {
   local BUILD="$1" SANITIZERS="$2"
   shift 2
-  cmake -S . -B "$BUILD" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCROCUSWOOD_SANITIZE="$SANITIZERS" \
+  cmake -S . -B "$BUILD" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCROCUSWOOD_SANITIZE="$SANITIZERS" -DCROCUSWOOD_WERROR=OFF \
     -DCMAKE_CXX_FLAGS="${FLAGS:-}"
   ninja -C "$BUILD" -j "$JOBS" "${@/#/test_}"
   local PROGRAM
@@ -19,7 +19,7 @@
   done
 }
 
-run_under "${BUILD:-build}-address" address,undefined model wire companion entry
+run_under "${BUILD:-build}-address" address,undefined model wire companion entry runs http
 # Asio's fences are unknown to the thread sanitizer, which g++ warns about. Ignoring them can
 # only bring false alarms.
 FLAGS=-Wno-tsan run_under "${BUILD:-build}-thread" thread rings
--- a/tests/http/clients_test.cpp
+++ b/tests/http/clients_test.cpp
@@ -1,6 +1,7 @@
 #include "test_support.h"
 
 #include <optional>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -81,6 +82,36 @@
   }
 }
 
+TEST(PlainClient, ATimeLimitAndAWriteThatEndTogetherAreSafe) {
+  tcp::acceptor Acceptor(Context,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  constexpr std::size_t MoreThanBuffers = 32U * 1024 * 1024;
+  plain_client Client(Context, 1, ShortLimit);
+  std::optional<plain_reply> Result;
+  Client.send({.Host = "127.0.0.1", .Port = Acceptor.local_endpoint().port()},
+              {.Method = "POST",
+               .Path = "/",
+               .Body = std::string(MoreThanBuffers, 'x')},
+              [&Result](plain_reply Reply) { Result = std::move(Reply); });
+  // The write waits for room. The process then stands still until there is
+  // room and the limit has passed, as after a suspension.
+  Context.run_for(ShortLimit / 2);
+  boost::asio::io_context Other;
+  tcp::socket Peer(Other);
+  boost::system::error_code Error;
+  Acceptor.accept(Peer, Error);
+  std::string Taken(MoreThanBuffers / 4, '\0');
+  Peer.non_blocking(true);
+  for (std::size_t Bytes = 1; Bytes > 0;) {
+    Bytes = Peer.read_some(boost::asio::buffer(Taken), Error);
+  }
+  std::this_thread::sleep_for(ShortLimit);
+  Context.restart();
+  CHECK_TRUE(runUntil(Context, [&] { return Result.has_value(); }));
+  CHECK_TRUE(Result->Kind == plain_reply::kind::Lost);
+  settle(Context);
+}
+
 TEST(PlainClient, WaitForAFreeConnectionEndsAsNotWritten) {
   scripted_server Server(Context, {{""}});
   plain_client Client(Context, 1, ShortLimit);
--- /dev/null
+++ b/tests/runs/fake_runner.cpp
@@ -0,0 +1,81 @@
+#include "fake_runner.h"
+
+#include <algorithm>
+
+namespace crocuswood::runs_test {
+
+void fake_runner::end(run_id Run, run_result Result) {
+  Active.erase(Run);
+  CompletesAt.erase(Run);
+  auto &Highest = Barred[{Run.Job, Run.Task}];
+  Highest = std::max(Highest, Run.Attempt);
+  Ended.push_back({.Number = ++LastNumber, .Run = Run, .Result = Result});
+}
+
+void fake_runner::pass(instant Time) {
+  Now = Time;
+  std::vector<run_id> Completed;
+  for (const auto &[Run, At] : CompletesAt) {
+    if (At <= std::min(Now, LeaseUntil)) {
+      Completed.push_back(Run);
+    }
+  }
+  for (const run_id &Run : Completed) {
+    end(Run, run_result::Completed);
+  }
+  while (Now > LeaseUntil && !Active.empty()) {
+    end(*Active.begin(), run_result::Lapsed);
+  }
+}
+
+order_outcome fake_runner::start(const start_order &Order) {
+  if (Order.Life != getLife()) {
+    return {.Status = order_status::Refused, .Reason = "another life"};
+  }
+  if (Active.contains(Order.Run)) {
+    return {.Status = order_status::Done};
+  }
+  const auto Bar = Barred.find({Order.Run.Job, Order.Run.Task});
+  if (Bar != Barred.end() && Order.Run.Attempt <= Bar->second) {
+    return {.Status = order_status::Refused, .Reason = "old"};
+  }
+  Twins = Twins || std::ranges::any_of(Active, [&](const run_id &Each) {
+            return Each.Job == Order.Run.Job && Each.Task == Order.Run.Task;
+          });
+  LeaseUntil = std::max(LeaseUntil, Now + Order.Lease);
+  Active.insert(Order.Run);
+  CompletesAt[Order.Run] = Now + RunTime;
+  return {.Status = order_status::Done};
+}
+
+order_outcome fake_runner::stop(const run_id &Run) {
+  auto &Highest = Barred[{Run.Job, Run.Task}];
+  Highest = std::max(Highest, Run.Attempt);
+  if (Active.contains(Run)) {
+    end(Run, run_result::Stopped);
+  }
+  return {.Status = order_status::Done};
+}
+
+run_list fake_runner::list(const list_request &Request) {
+  if (Request.Lease) {
+    LeaseUntil = std::max(LeaseUntil, Now + *Request.Lease);
+  }
+  std::erase_if(Ended, [&](const listed_end &End) {
+    return End.Number <= Request.Acknowledged;
+  });
+  return {.Life = getLife(),
+          .Active = {Active.begin(), Active.end()},
+          .Ended = Ended};
+}
+
+void fake_runner::restart() {
+  ++Life;
+  Active.clear();
+  CompletesAt.clear();
+  Barred.clear();
+  Ended.clear();
+  LastNumber = 0;
+}
+
+} // namespace crocuswood::runs_test
--- /dev/null
+++ b/tests/runs/fake_runner.h
@@ -0,0 +1,51 @@
+/// \file
+/// A leased endpoint in virtual time. Orders take effect when they are
+/// delivered, which the test decides.
+#pragma once
+
+#include <crocuswood/runs.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocuswood::runs_test {
+
+/// Runs tasks as the platform's runners do: a lease for all of them, ends that
+/// are listed until acknowledged, stops that bar what has not begun.
+class fake_runner {
+public:
+  /// Moves on to \p Now: runs complete, and all end when the lease lapses.
+  void pass(instant Now);
+  order_outcome start(const start_order &Order);
+  order_outcome stop(const run_id &Run);
+  run_list list(const list_request &Request);
+  /// Begins a new life with nothing running.
+  void restart();
+
+  void setRunTime(duration Span) { RunTime = Span; }
+  const std::set<run_id> &getActive() const { return Active; }
+  std::string getLife() const { return std::to_string(Life); }
+  /// \returns whether two runs of one task have ever gone on together.
+  bool hadTwins() const { return Twins; }
+
+private:
+  void end(run_id Run, run_result Result);
+
+  instant Now;
+  std::uint64_t Life = 1;
+  instant LeaseUntil;
+  duration RunTime = std::chrono::milliseconds(100);
+  std::set<run_id> Active;
+  std::map<run_id, instant> CompletesAt;
+  /// Highest attempt that was stopped or has ended, by job and task.
+  std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> Barred;
+  std::vector<listed_end> Ended;
+  std::uint64_t LastNumber = 0;
+  bool Twins = false;
+};
+
+} // namespace crocuswood::runs_test
--- /dev/null
+++ b/tests/runs/random_test.cpp
@@ -0,0 +1,177 @@
+// Random orders, losses, delays and restarts: the supervisor never reports the
+// end of a run that goes on, so that a task which runs again after that report
+// never runs twice at a time.
+#include "fake_runner.h"
+
+#include <crocuswood/runs.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::runs_test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr unsigned Seeds = 400;
+constexpr int StepsPerSeed = 1'500;
+constexpr std::uint32_t Tasks = 6;
+
+class random_day {
+public:
+  explicit random_day(unsigned Seed) : Random(Seed) {}
+
+  bool run() {
+    for (int Step = 0; Step < StepsPerSeed && IsSafe; ++Step) {
+      Now += milliseconds(draw(1, 12));
+      Runner.pass(Now);
+      deliverLate();
+      act();
+      Supervisor.advance(Now);
+      deliver();
+      checkEnds();
+    }
+    return IsSafe;
+  }
+
+private:
+  int draw(int Least, int Greatest) {
+    return std::uniform_int_distribution<int>(Least, Greatest)(Random);
+  }
+  bool chance(int Percent) { return draw(1, 100) <= Percent; }
+
+  void act() {
+    const auto Task = static_cast<std::uint32_t>(draw(0, Tasks - 1));
+    const task_id Id{.Job = {.Entry = incarnation{1}, .Sequence = 1},
+                     .Index = Task};
+    if (!Running.contains(Task) && chance(40)) {
+      Running[Task] = ++Attempts[Task];
+      Runner.setRunTime(milliseconds(draw(20, 900)));
+      Supervisor.start(Now, {.Task = Id,
+                             .Class = "fast",
+                             .RunName = "job",
+                             .Attempt = Attempts[Task]});
+    } else if (Running.contains(Task) && chance(10)) {
+      Supervisor.stop(Now, Id);
+    }
+    if (chance(1)) {
+      Runner.restart();
+    }
+    if (chance(2)) {
+      Bad = !Bad;
+    }
+  }
+
+  // While the times are bad, a third of the calls get no answer, and half of
+  // those are carried out later.
+  bool isLost() { return Bad && chance(33); }
+
+  void deliver() {
+    std::vector<runs::step> Steps = Supervisor.takeSteps();
+    while (!Steps.empty()) {
+      for (runs::step &Step : Steps) {
+        carryOut(Step);
+      }
+      Steps = Supervisor.takeSteps();
+    }
+  }
+
+  void carryOut(runs::step &Step) {
+    if (auto *Start = std::get_if<runs::send_start>(&Step)) {
+      const run_id Run = Start->Order.Run;
+      if (isLost()) {
+        Late.emplace(Now + milliseconds(draw(100, 3'000)), Start->Order);
+        Supervisor.takeStartOutcome(Now, Run, {});
+        return;
+      }
+      Supervisor.takeStartOutcome(Now, Run, Runner.start(Start->Order));
+    } else if (auto *Stop = std::get_if<runs::send_stop>(&Step)) {
+      if (!isLost()) {
+        Supervisor.takeStopOutcome(Now, Stop->Run, Runner.stop(Stop->Run));
+      }
+    } else if (auto *List = std::get_if<runs::send_list>(&Step)) {
+      Listing = List->Request;
+      ListDue = Now + milliseconds(draw(1, 150));
+    } else if (auto *Tell = std::get_if<runs::tell_core>(&Step)) {
+      takeTold(Tell->Event);
+    }
+    if (Listing && ListDue <= Now) {
+      answerList();
+    }
+  }
+
+  void answerList() {
+    const list_request Request = *std::exchange(Listing, std::nullopt);
+    if (isLost()) {
+      Supervisor.takeList(Now, std::nullopt);
+    } else {
+      Supervisor.takeList(Now, Runner.list(Request));
+    }
+    deliver();
+  }
+
+  void deliverLate() {
+    while (!Late.empty() && Late.begin()->first <= Now) {
+      start_order Order = Late.begin()->second;
+      // An order whose lease has passed is refused by the endpoint.
+      const bool Expired = chance(50);
+      Late.erase(Late.begin());
+      if (!Expired) {
+        Runner.start(Order);
+      }
+    }
+    if (Listing && ListDue <= Now) {
+      answerList();
+    }
+  }
+
+  void takeTold(const companion::event &Event) {
+    std::visit(
+        [this](const auto &Each) {
+          if constexpr (requires { Each.Task; }) {
+            Running.erase(Each.Task.Index);
+            Ended.emplace(Each.Task.Index, Attempts[Each.Task.Index]);
+          }
+        },
+        Event);
+  }
+
+  void checkEnds() {
+    for (const run_id &Active : Runner.getActive()) {
+      IsSafe = IsSafe && !Ended.contains({Active.Task, Active.Attempt});
+    }
+    IsSafe = IsSafe && !Runner.hadTwins();
+  }
+
+  std::mt19937 Random;
+  instant Now{std::chrono::seconds(100)};
+  fake_runner Runner;
+  runs::supervisor Supervisor{{}, Now};
+  std::map<std::uint32_t, std::uint32_t> Attempts;
+  std::map<std::uint32_t, std::uint32_t> Running;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> Ended;
+  std::multimap<instant, start_order> Late;
+  std::optional<list_request> Listing;
+  instant ListDue;
+  bool Bad = false;
+  bool IsSafe = true;
+};
+
+} // namespace
+
+TEST_GROUP(RandomRuns){};
+
+TEST(RandomRuns, AReportedEndIsAnEnd) {
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    if (!random_day(Seed).run()) {
+      FAIL(("seed " + std::to_string(Seed)).c_str());
+    }
+  }
+}
--- /dev/null
+++ b/tests/runs/supervisor_test.cpp
@@ -0,0 +1,241 @@
+#include "fake_runner.h"
+
+#include <crocuswood/runs.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::runs_test;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Between a step and its effect on the endpoint, and back.
+constexpr duration Trip = milliseconds(1);
+
+} // namespace
+
+TEST_GROUP(Supervisor) {
+  instant Now{std::chrono::seconds(100)};
+  fake_runner Runner;
+  runs::options Options;
+  runs::supervisor Supervisor{Options, Now};
+  std::vector<companion::event> Told;
+  std::vector<start_order> LostStarts; ///< Not delivered yet.
+  bool LosesStarts = false;
+  bool LosesStops = false;
+  bool LosesLists = false;
+
+  task_id makeTask(std::uint32_t Index = 0) {
+    return {.Job = {.Entry = incarnation{1}, .Sequence = 1}, .Index = Index};
+  }
+
+  void start(std::uint32_t Index = 0, std::uint32_t Attempt = 1) {
+    Supervisor.start(Now, {.Task = makeTask(Index),
+                           .Class = "fast",
+                           .RunName = "job",
+                           .Attempt = Attempt});
+    deliver();
+  }
+
+  void stop(std::uint32_t Index = 0) {
+    Supervisor.stop(Now, makeTask(Index));
+    deliver();
+  }
+
+  void pass(duration Span) {
+    const instant End = Now + Span;
+    while (Now < End) {
+      Now += Trip;
+      Runner.pass(Now);
+      Supervisor.advance(Now);
+      deliver();
+    }
+  }
+
+  // Carries out the steps; listings wait no time.
+  void deliver() {
+    std::vector<runs::step> Steps = Supervisor.takeSteps();
+    while (!Steps.empty()) {
+      for (runs::step &Step : Steps) {
+        carryOut(Step);
+      }
+      Steps = Supervisor.takeSteps();
+    }
+  }
+
+  void carryOut(runs::step & Step) {
+    if (auto *Start = std::get_if<runs::send_start>(&Step)) {
+      if (LosesStarts) {
+        LostStarts.push_back(Start->Order);
+        Supervisor.takeStartOutcome(Now, Start->Order.Run, {});
+        return;
+      }
+      const run_id Run = Start->Order.Run;
+      Supervisor.takeStartOutcome(Now, Run, Runner.start(Start->Order));
+    } else if (auto *Stop = std::get_if<runs::send_stop>(&Step)) {
+      if (!LosesStops) {
+        Supervisor.takeStopOutcome(Now, Stop->Run, Runner.stop(Stop->Run));
+      }
+    } else if (auto *List = std::get_if<runs::send_list>(&Step)) {
+      Asked.push_back(List->Request);
+    } else if (auto *Tell = std::get_if<runs::tell_core>(&Step)) {
+      Told.push_back(std::move(Tell->Event));
+    }
+  }
+
+  std::vector<list_request> Asked; ///< Listings not answered yet.
+
+  // Answers the listings that were asked for.
+  void answerLists() {
+    std::vector<list_request> Requests;
+    std::swap(Requests, Asked);
+    for (const list_request &Request : Requests) {
+      if (LosesLists) {
+        Supervisor.takeList(Now, std::nullopt);
+      } else {
+        Supervisor.takeList(Now, Runner.list(Request));
+      }
+      deliver();
+    }
+  }
+
+  void live(duration Span) {
+    const instant End = Now + Span;
+    while (Now < End) {
+      pass(milliseconds(10));
+      answerLists();
+    }
+  }
+
+  template <class Event> std::size_t count() const {
+    std::size_t Count = 0;
+    for (const companion::event &Each : Told) {
+      Count += std::holds_alternative<Event>(Each) ? 1 : 0;
+    }
+    return Count;
+  }
+
+  void settle() {
+    live(milliseconds(20));
+    CHECK_TRUE(Supervisor.isReady());
+  }
+};
+
+TEST(Supervisor, ReportsTheListedEnd) {
+  settle();
+  start();
+  live(milliseconds(130));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, RenewsTheLeaseOfALongRun) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(3));
+  start();
+  live(milliseconds(3'100));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
+
+TEST(Supervisor, AStopEndsTheRunOnce) {
+  settle();
+  start();
+  stop();
+  live(milliseconds(50));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, AnUnansweredStartIsBarredBeforeItCountsAsRefused) {
+  settle();
+  LosesStarts = true;
+  start();
+  live(milliseconds(50));
+  CHECK_EQUAL(1U, count<companion::run_refused>());
+  // The order arrives seconds late, and must not begin.
+  Runner.start(LostStarts.front());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, AnUnansweredStartWaitsForAConfirmedStop) {
+  settle();
+  LosesStarts = true;
+  LosesStops = true;
+  start();
+  live(milliseconds(200));
+  CHECK_EQUAL(0U, count<companion::run_refused>());
+}
+
+TEST(Supervisor, AStopWithoutEffectCostsTheLease) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(30));
+  start();
+  LosesStops = true;
+  stop();
+  live(Options.StopLimit + Options.Lease + Options.LeaseMargin);
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, RunsOfAnEarlierLifeAreStoppedFirst) {
+  Runner.setRunTime(std::chrono::seconds(30));
+  Runner.pass(Now);
+  Runner.start({.Run = {.Job = "earlier"},
+                .Life = Runner.getLife(),
+                .Lease = Options.Lease});
+  pass(milliseconds(1));
+  CHECK_FALSE(Supervisor.isReady());
+  live(milliseconds(60));
+  CHECK_TRUE(Supervisor.isReady());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, WithoutAnyListingEarlierRunsEndWithTheirLease) {
+  LosesLists = true;
+  live(Options.Lease);
+  CHECK_EQUAL(0U, count<companion::endpoint_settled>());
+  live(Options.LeaseMargin + Options.ListRetry);
+  CHECK_EQUAL(1U, count<companion::endpoint_settled>());
+}
+
+TEST(Supervisor, SilenceIsReportedAndRunsEndWithTheirLease) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(30));
+  start();
+  LosesLists = true;
+  live(Options.SilenceLimit + milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::endpoint_silent>());
+  CHECK_EQUAL(0U, count<companion::run_stopped>());
+  live(Options.Lease + Options.LeaseMargin + Options.ListRetry);
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(Supervisor, ARestartedEndpointRunsNothing) {
+  settle();
+  start();
+  Runner.restart();
+  live(milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  start(0, 2);
+  live(milliseconds(130));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
+
+TEST(Supervisor, FailedListingsAreNotRepeatedInATightLoop) {
+  settle();
+  LosesLists = true;
+  std::size_t Requests = 0;
+  for (int Step = 0; Step < 1'000; ++Step) {
+    pass(milliseconds(1));
+    Requests += Asked.size();
+    answerLists();
+  }
+  CHECK_TRUE(Requests <= 1'000 / 50 + 1);
+}
