--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -24,21 +24,21 @@
 struct options {
   /// How long runs go on without a renewal. Short, so that the runs of a
   /// companion that has died end soon; long enough for three renewals.
-  duration Lease = std::chrono::milliseconds(500);
+  duration Lease = std::chrono::milliseconds(320);
   /// How long one listing waits for an end.
-  duration ListWait = std::chrono::milliseconds(150);
+  duration ListWait = std::chrono::milliseconds(100);
   /// Between the starts of two listings of which the first failed.
   duration ListRetry = std::chrono::milliseconds(50);
   /// An endpoint that has not been listed for longer takes no new runs.
-  duration SilenceLimit = std::chrono::milliseconds(450);
+  duration SilenceLimit = std::chrono::milliseconds(300);
   /// A stop without effect is repeated after this.
-  duration StopRetry = std::chrono::milliseconds(80);
+  duration StopRetry = std::chrono::milliseconds(50);
   /// A run that is stopped and goes on for longer costs the endpoint its
   /// lease, which ends the run for certain.
-  duration StopLimit = std::chrono::milliseconds(200);
+  duration StopLimit = std::chrono::milliseconds(100);
   /// Added to a lease before a run without renewal counts as ended: the
   /// endpoint's clock may be slow by 2%, and killing takes time.
-  duration LeaseMargin = std::chrono::milliseconds(100);
+  duration LeaseMargin = std::chrono::milliseconds(60);
 };
 
 // Steps for the caller.
