--- a/packages/config/src/document.cpp
+++ b/packages/config/src/document.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint64_t GreatestPriority = 1'000;
 constexpr std::uint64_t GreatestAttempts = 100;
 constexpr double GreatestRunTimeFactor = 100;
+constexpr double GreatestUsefulTargets = 1'000;
 
 // Largest whole number that every JSON reader keeps exactly.
 constexpr std::uint64_t MaxExactWhole = (1ULL << 53U) - 1;
@@ -45,6 +46,7 @@
   Add("priority", Value.Priority, Default.Priority);
   Add("max_attempts", Value.MaxAttempts, Default.MaxAttempts);
   Add("run_time_factor", Value.RunTimeFactor, Default.RunTimeFactor);
+  Add("useful_targets", Value.UsefulTargets, Default.UsefulTargets);
   Add("pool", Value.Pool, Default.Pool);
   Add("host", Value.Host, Default.Host);
   Add("path_prefix", Value.PathPrefix, Default.PathPrefix);
@@ -80,6 +82,8 @@
   Value.MaxAttempts = static_cast<std::uint32_t>(MaxAttempts);
   Reader.readNumber("run_time_factor", Value.RunTimeFactor, 0,
                     GreatestRunTimeFactor);
+  Reader.readNumber("useful_targets", Value.UsefulTargets, 0,
+                    GreatestUsefulTargets);
   Reader.readText("pool", Value.Pool);
   Reader.readText("host", Value.Host);
   Reader.readText("path_prefix", Value.PathPrefix);
--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -127,6 +127,11 @@
 }
 
 duration admission::getLateLimit(class_index Class) const {
+  const work_class &Work = State.Classes[Class];
+  if (Work.Spec.UsefulTargets > 0) {
+    const double Useful = seconds(Work.getTarget()) * Work.Spec.UsefulTargets;
+    return fromSeconds(Useful) - Work.expect(std::nullopt);
+  }
   return std::max(State.Classes[Class].getTarget() * LateTargets,
                   LeastLateLimit);
 }
--- a/packages/entry/src/class_table.cpp
+++ b/packages/entry/src/class_table.cpp
@@ -1,5 +1,7 @@
 #include "class_table.h"
 
+#include <algorithm>
+
 namespace crocuswood::entry {
 
 namespace {
@@ -7,12 +9,28 @@
 // Part of the target taken as a task's run time before anything is learned.
 constexpr int FallbackDivisor = 4;
 
+// Runs before the distribution of run times is trusted.
+constexpr std::uint32_t EnoughRuns = 100;
+// A run that lasts this many times longer than nearly all others is overdue.
+// Below 2, long tasks of their own accord would be stopped.
+constexpr double LongRunQuantile = 0.99;
+constexpr int LongRunFactor = 2;
+constexpr std::uint32_t MaxDoublings = 6;
+
 } // namespace
 
 duration work_class::expect(std::optional<duration> Declared) const {
   return RunTimes.expect(Declared, Spec.AnswerWithin / FallbackDivisor);
 }
 
+std::optional<duration> work_class::getRunLimit(std::uint32_t Stops) const {
+  if (RunTimes.countSamples() < EnoughRuns) {
+    return std::nullopt;
+  }
+  const duration Long = RunTimes.getQuantile(LongRunQuantile, duration{});
+  return Long * LongRunFactor * (1U << std::min(Stops, MaxDoublings));
+}
+
 duration work_class::getTarget() const {
   const auto RunTime = static_cast<double>(expect(std::nullopt).count());
   return Spec.AnswerWithin +
--- a/packages/entry/src/class_table.h
+++ b/packages/entry/src/class_table.h
@@ -23,6 +23,11 @@
 
   /// \returns the expected run time of a task.
   duration expect(std::optional<duration> Declared) const;
+  /// \returns how long a run may last before another endpoint is likely to be
+  /// faster, or nothing while too little is known. \p Stops counts the runs of
+  /// the task that were stopped before; each one doubles the limit, since the
+  /// task itself may be long.
+  std::optional<duration> getRunLimit(std::uint32_t Stops) const;
   /// \returns the target: the fixed part and the one that the run time adds.
   duration getTarget() const;
 };
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -48,6 +48,10 @@
   std::uint64_t UsedMemoryBytes = 0; ///< By the outstanding tasks.
   std::uint32_t UsedAccelerators = 0;
 
+  /// Run times here against those of the class everywhere; 1 is the mean.
+  double Slowness = 1;
+  instant SlownessAt; ///< When it was last learned.
+
   bool SetAside = false;
   std::optional<std::uint32_t> Allowed; ///< Most outstanding tasks while it is
                                         ///< not trusted in full.
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -15,6 +15,21 @@
 constexpr double RunTimeShare = 1.0 / 256;
 constexpr std::uint32_t RefreshedAtOnce = 4;
 
+// One run among this many moves what is known of a companion's speed.
+constexpr double SlownessShare = 1.0 / 8;
+// A hung endpoint's runs are stopped after a few times their mean.
+constexpr double MaxSlowness = 8;
+// Differences of run times up to this are by chance.
+constexpr double UsualSlowness = 1.5;
+// A slow companion gets few tasks, so that what is known of it must fade for
+// its recovery to be noticed.
+constexpr double SlownessMemory = 3'000'000; // Microseconds.
+
+double slownessOf(const companion_record &Record, instant Now) {
+  const auto Age = static_cast<double>((Now - Record.SlownessAt).count());
+  return 1 + (Record.Slowness - 1) * std::exp(-Age / SlownessMemory);
+}
+
 double toSlots(std::uint64_t Room) {
   return static_cast<double>(Room) / SlotRoom;
 }
@@ -163,6 +178,15 @@
   MeanRunTime += (Microseconds - MeanRunTime) * (IsFirst ? 1.0 : RunTimeShare);
 }
 
+void companion_table::noteSlowness(companion_index Index, double Ratio,
+                                   instant Now) {
+  companion_record &Record = Records[Index];
+  const double Known = slownessOf(Record, Now);
+  Record.Slowness =
+      Known + (std::min(Ratio, MaxSlowness) - Known) * SlownessShare;
+  Record.SlownessAt = Now;
+}
+
 void companion_table::refreshSome(instant Now) {
   const auto Count = static_cast<companion_index>(Records.size());
   for (std::uint32_t Each = 0; Each < std::min(Count, RefreshedAtOnce);
@@ -207,7 +231,12 @@
 
 std::int32_t companion_table::roomOf(const companion_record &Record,
                                      instant Now) const {
-  const double Slots = slotsOf(Record.Endpoint) - estimateTasks(Record, Now);
+  double Slots = slotsOf(Record.Endpoint) - estimateTasks(Record, Now);
+  const double Slowness = slownessOf(Record, Now);
+  if (Slowness > UsualSlowness && Slots > 0) {
+    // As much of the free room as tasks there get done in the usual time.
+    Slots /= Slowness;
+  }
   const auto Room = static_cast<std::int32_t>(
       std::floor(Slots * capacity_index::RoomPerSlot));
   if (!Record.Allowed) {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -45,6 +45,9 @@
 
   /// Takes the run time of a task that has ended, of any class.
   void noteRunTime(duration RunTime);
+  /// Learns how slow a companion is. \p Ratio is a run time against the mean of
+  /// its class.
+  void noteSlowness(companion_index Index, double Ratio, instant Now);
   /// Brings the room of the next few companions up to date, since what was
   /// heard of the other entries' tasks is worth less with time.
   void refreshSome(instant Now);
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -168,6 +168,9 @@
                          Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId,
                      .Attempt = ++Placed.Starts,
                      .Priority = Class.Spec.Priority};
+  if (Job.Repeatable) {
+    Message.RunLimit = Class.getRunLimit(Placed.Stops);
+  }
   if (Job.Deadline) {
     Message.Deadline = *Job.Deadline - State.now();
   }
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -46,6 +46,7 @@
   std::uint8_t Attempts = 0;
   std::uint32_t Starts = 0;   ///< Placements so far; numbers the next one.
   std::uint32_t Failures = 0; ///< Runs that the endpoint reported as failed.
+  std::uint32_t Stops = 0;    ///< Runs that ended before their time.
 };
 
 /// A companion gave a task back. It must not get it again, since it may take
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -335,7 +335,8 @@
                        .Job = Placement.Message.Task.Job,
                        .Task = Placement.Message.Task.Index,
                        .Class = Placement.Message.Class,
-                       .Peer = Record.Id.Name});
+                       .Peer = Record.Id.Name,
+                       .Value = (State.now() - Record.OthersAt).count()});
   }
 }
 
--- a/packages/entry/src/run_time_estimate.h
+++ b/packages/entry/src/run_time_estimate.h
@@ -25,6 +25,7 @@
   /// \p Fallback while nothing is known.
   duration getQuantile(double Share, duration Fallback) const;
 
+  std::uint32_t countSamples() const { return Samples; }
   bool hasSamples() const { return Weight > 0; }
 
 private:
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -48,7 +48,7 @@
   } else if (const auto *Returned = std::get_if<task_not_started>(&End.End)) {
     takeReturn(Companion, *Task, Returned->Reason);
   } else if (const auto *Stopped = std::get_if<task_stopped>(&End.End)) {
-    takeStop(Companion, *Task, Stopped->Reason);
+    takeStop(Companion, *Task, Stopped->RunTime, Stopped->Reason);
   } else {
     takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
   }
@@ -84,6 +84,7 @@
                      .Peer = State.companionName(Companion),
                      .Digest = digest(Completed.Output.getBytes())});
   State.Companions.noteRunTime(Completed.RunTime);
+  noteSpeed(Companion, Class, Completed.RunTime);
   learnRoundTrip(Companion, Task.get(), Completed.RunTime);
   release(Task, task_state::Completed);
   Health.noteCompleted(Companion, Job.Class, Task.get().PlacedAt);
@@ -156,15 +157,32 @@
 }
 
 void task_ends::takeStop(companion_index Companion, const task_ref &Task,
-                         const std::string &Reason) {
+                         duration RunTime, const std::string &Reason) {
   if (!mayRepeat(*Task.Job)) {
     takeLoss(Companion, Task, Reason);
     return;
   }
   Task.Job->MayHaveRun = true;
+  ++Task.get().Stops;
+  const work_class &Class = State.Classes[Task.Job->Class];
+  // A run that was cut short tells of its companion only if it was long.
+  if (RunTime > Class.expect(std::nullopt)) {
+    noteSpeed(Companion, Class, RunTime);
+  }
   repeat(Companion, Task, Reason);
 }
 
+void task_ends::noteSpeed(companion_index Companion, const work_class &Class,
+                          duration RunTime) {
+  const duration Mean = Class.expect(std::nullopt);
+  if (Mean > duration::zero()) {
+    State.Companions.noteSlowness(Companion,
+                                  static_cast<double>(RunTime.count()) /
+                                      static_cast<double>(Mean.count()),
+                                  State.now());
+  }
+}
+
 bool task_ends::mayRepeat(const job &Job) const {
   return Job.Repeatable && Job.Phase == job_phase::Active;
 }
@@ -230,7 +248,7 @@
   while (!State.Companions[Companion].Outstanding.empty()) {
     const task_ref Task = State.Companions[Companion].Outstanding.back();
     if (State.Options.GrantsLeases) {
-      takeStop(Companion, Task, Reason);
+      takeStop(Companion, Task, duration::zero(), Reason);
     } else {
       takeLoss(Companion, Task, Reason);
     }
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -39,7 +39,9 @@
   void takeLoss(companion_index Companion, const task_ref &Task,
                 const std::string &Reason);
   void takeStop(companion_index Companion, const task_ref &Task,
-                const std::string &Reason);
+                duration RunTime, const std::string &Reason);
+  void noteSpeed(companion_index Companion, const work_class &Class,
+                 duration RunTime);
   void takeBack(const task_ref &Task);
   /// \returns whether \p Job allows another run of a task that has ended.
   bool mayRepeat(const job &Job) const;
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -11,11 +11,28 @@
 
 void waiting_check::checkTimes() {
   for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+    demote(Class);
     checkLate(Class);
   }
   checkRetries();
 }
 
+void waiting_check::demote(class_index Class) {
+  // Only classes that say what late answers are worth give them up.
+  if (State.Classes[Class].Spec.UsefulTargets <= 0) {
+    return;
+  }
+  const duration Target = State.Classes[Class].getTarget();
+  while (true) {
+    const auto Front = State.Queue.getFront(Class, Target);
+    // A job of which some tasks run is finished first.
+    if (!Front || Front->Due >= State.now() || Front->Job->NextFresh > 0) {
+      return;
+    }
+    State.Queue.makeLate(*Front->Job);
+  }
+}
+
 void waiting_check::checkLate(class_index Class) {
   const duration Limit = Admission.getLateLimit(Class);
   while (job *Job = State.Queue.getLateFront(Class)) {
--- a/packages/entry/src/waiting_check.h
+++ b/packages/entry/src/waiting_check.h
@@ -18,6 +18,9 @@
   void checkTimes();
 
 private:
+  /// Moves jobs that have missed their target behind those that can meet it.
+  /// Otherwise an overload makes every job a little late.
+  void demote(class_index Class);
   void checkLate(class_index Class);
   void checkRetries();
 
--- a/packages/entry/src/waiting_queue.cpp
+++ b/packages/entry/src/waiting_queue.cpp
@@ -70,6 +70,12 @@
   account(Job, -1);
 }
 
+void waiting_queue::makeLate(job &Job) {
+  park(Job);
+  Job.Late = true;
+  add(Job, Job.ExpectedRunTime);
+}
+
 void waiting_queue::makeUrgent(job &Job) {
   park(Job);
   Job.Late = false;
--- a/packages/entry/src/waiting_queue.h
+++ b/packages/entry/src/waiting_queue.h
@@ -38,6 +38,8 @@
   /// Puts \p Job aside although it has tasks left; add() brings it back.
   void park(job &Job);
 
+  /// Lets a job that can no longer meet its target wait behind those that can.
+  void makeLate(job &Job);
   /// Lets a job that was admitted late go before those on time.
   void makeUrgent(job &Job);
 
--- a/packages/model/include/crocuswood/model/configuration.h
+++ b/packages/model/include/crocuswood/model/configuration.h
@@ -31,6 +31,9 @@
   /// Part of the target that depends on the tasks: `AnswerWithin` is extended
   /// by this many times the run time of a task.
   double RunTimeFactor = 0;
+  /// Answers later than this many times the target are of no use to callers;
+  /// 0 means that this is not known.
+  double UsefulTargets = 0;
   /// Endpoints that announce this name run the class; empty: its own name.
   std::string Pool;
   /// Where callers submit jobs of the class, if their interface addresses
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -32,7 +32,9 @@
   CancelAsked,   ///< Job.
   JobTakenOver,  ///< Job, Class, Key (the caller's id); it arrived again.
 
-  TaskPlaced,      ///< Task, Class, Peer (companion); written to a link.
+  TaskPlaced,      ///< Task, Class, Peer (companion), Value (age of the load
+                   ///< that it was chosen by, in microseconds); written to a
+                   ///< link.
   TaskWithdrawn,   ///< Task, Peer; asked back.
   TaskReturned,    ///< Task, Peer; the entry learned that it had not started.
   TaskResultTaken, ///< Task, Peer, Digest (of the output); the entry took the
--- a/packages/wire/src/schema.h
+++ b/packages/wire/src/schema.h
@@ -104,8 +104,8 @@
       &class_spec::RefuseAtMost, &class_spec::Idempotent,
       &class_spec::MemoryBytes, &class_spec::Accelerators,
       &class_spec::Priority, &class_spec::MaxAttempts,
-      &class_spec::RunTimeFactor, &class_spec::Pool, &class_spec::Host,
-      &class_spec::PathPrefix);
+      &class_spec::RunTimeFactor, &class_spec::UsefulTargets, &class_spec::Pool,
+      &class_spec::Host, &class_spec::PathPrefix);
 };
 
 template <> struct schema<team_spec> {
--- a/programs/crocuswoodd/companion_decisions.cpp
+++ b/programs/crocuswoodd/companion_decisions.cpp
@@ -57,9 +57,9 @@
              Item);
 }
 
-void companion_decisions::takeEntries(instant Now,
-                                      std::vector<peer_address> Entries) {
-  handle(Now, companion::bootstrap_changed{.Entries = std::move(Entries)});
+void companion_decisions::takeEntries(
+    instant Now, const std::vector<peer_address> &Entries) {
+  handle(Now, companion::bootstrap_changed{.Entries = Entries});
 }
 
 void companion_decisions::takeStop(instant Now) {
--- a/programs/crocuswoodd/companion_decisions.h
+++ b/programs/crocuswoodd/companion_decisions.h
@@ -30,7 +30,8 @@
   bool takeOwnItems(instant Now, bool TakeNewWork) override;
   void takeLinkItem(instant Now, link_item Item) override;
   void takeStop(instant Now) override;
-  void takeEntries(instant Now, std::vector<peer_address> Entries) override;
+  void takeEntries(instant Now,
+                   const std::vector<peer_address> &Entries) override;
   void takeTimer(instant Now) override;
   void finishTurn(instant Now) override;
   status_snapshot getStatus() const override;
--- a/programs/crocuswoodd/decision_duty.cpp
+++ b/programs/crocuswoodd/decision_duty.cpp
@@ -72,7 +72,7 @@
   operators_item Asked;
   while (Rings.FromOperators.tryPop(Asked)) {
     if (auto *Told = std::get_if<entries_told>(&Asked)) {
-      takeEntries(Now, std::move(Told->Entries));
+      takeEntries(Now, Told->Entries);
       continue;
     }
     Recorder.record({.Kind = event_kind::ProcessStopping});
--- a/programs/crocuswoodd/decision_duty.h
+++ b/programs/crocuswoodd/decision_duty.h
@@ -49,7 +49,7 @@
   virtual void takeStop(instant Now) = 0;
   /// The settings name these entries; entries find each other by themselves.
   virtual void takeEntries(instant /*Now*/,
-                           std::vector<peer_address> /*Entries*/) {}
+                           const std::vector<peer_address> & /*Entries*/) {}
   virtual void takeTimer(instant Now) = 0;
   /// Lets the core send what it has gathered, and carries out its actions.
   virtual void finishTurn(instant Now) = 0;
--- a/programs/crocuswoodd/log.cpp
+++ b/programs/crocuswoodd/log.cpp
@@ -47,9 +47,10 @@
       Json
           ? R"({"time":"%d{%Y-%m-%dT%H:%M:%S.%q}","level":"%p","part":"%c","message":%m}%n)"
           : "%d{%Y-%m-%dT%H:%M:%S.%q} %-5p %c: %m%n";
-  // Logs go to standard error, and never wait in a buffer.
+  // Structured logs go to standard output, texts for people to standard error.
+  // Neither waits in a buffer.
   log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(true, true));
+      new log4cplus::ConsoleAppender(!Json, true));
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
   Root.addAppender(Appender);
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -112,6 +112,8 @@
     : Self(std::move(Self)), Zone(Settings.Zone), Operators(Settings.Operators),
       FromDecisions(FromDecisions), Changes(Changes),
       Finished(std::move(Finished)), Store(Settings.TimelineEvents),
+      Events(Settings.Log.Form == "json"),
+      LogsText(Settings.Log.Form != "json"),
       Server(Duty.getContext(), OperatorLimits,
              [this](const http::plain_request &Request,
                     const respond &Respond) { serve(Request, Respond); }) {
@@ -151,6 +153,7 @@
                Item);
   }
   TimelineFile.flush();
+  Events.flush();
   change_item Change;
   while (Changes && Changes->FromPlatform.tryPop(Change)) {
     takeChangeItem(std::move(Change));
@@ -159,12 +162,14 @@
 
 void observer_duty::takeEvent(timeline_event Event) {
   Metrics.take(Event);
+  Events.add(Event);
   if (TimelineFile.is_open()) {
     TimelineFile << timeline::writeJson(Event) << '\n';
   }
-  if (getWarnings().contains(Event.Kind)) {
+  // With structured logs the event itself has been written.
+  if (LogsText && getWarnings().contains(Event.Kind)) {
     log(log_level::Warn, getPart(Event.Kind), timeline::describe(Event));
-  } else if (getNotices().contains(Event.Kind)) {
+  } else if (LogsText && getNotices().contains(Event.Kind)) {
     log(log_level::Info, getPart(Event.Kind), timeline::describe(Event));
   }
   Store.add(std::move(Event));
--- a/programs/crocuswoodd/observer_duty.h
+++ b/programs/crocuswoodd/observer_duty.h
@@ -3,6 +3,7 @@
 /// operators' port.
 #pragma once
 
+#include "event_log.h"
 #include "items.h"
 #include "metrics.h"
 #include "outbox.h"
@@ -72,6 +73,8 @@
   timeline::event_store Store;
   std::ofstream TimelineFile;
   metrics Metrics;
+  event_log Events;
+  bool LogsText;
   std::optional<published_status> Published;
   std::vector<platform::entry_row> Entries;
   std::map<request_id, respond> WaitingChanges;
--- /dev/null
+++ b/tests/companion/lease_test.cpp
@@ -0,0 +1,113 @@
+#include "companion_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::companion;
+
+namespace {
+
+constexpr duration Lease = milliseconds(300);
+
+options makeLeased() {
+  options Options = makeOptions();
+  Options.EntryLease = Lease;
+  Options.AwaitEndpoint = true;
+  Options.HeartbeatInterval = milliseconds(80);
+  Options.SilenceLimit = seconds(5);
+  return Options;
+}
+
+} // namespace
+
+TEST_GROUP(Lease) {
+  driver Driver{makeLeased()};
+  link_id Link{};
+
+  void setup() override {
+    Driver.feed(entries_read{.Entries = {AddressA}});
+    CHECK_TRUE(Driver.list<dial_entry>().empty());
+    Driver.feed(endpoint_settled{});
+    Link = Driver.list<dial_entry>().front().Link;
+    Driver.feed(link_opened{.Link = Link});
+    Driver.feed(endpoint_announced{
+        .Announcement = {.Name = "runner",
+                         .Address = {.Host = "127.0.0.1", .Port = 9000},
+                         .Offer = {.State = endpoint_state::Serving,
+                                   .Classes = {"pool"},
+                                   .Slots = 8,
+                                   .MemoryBytes = 1U << 30U,
+                                   .MilliCores = 16'000}}});
+    receive({entry_hello{.Entry = {.Name = "entry-a", .Incarnation = EntryA},
+                         .Zone = "asolo"}});
+  }
+
+  void receive(std::vector<peer_message> Messages) {
+    Driver.feed(
+        envelope_received{.Link = Link, .Messages = std::move(Messages)});
+  }
+  void grant() { receive({lease_grant{.At = Driver.Now.time_since_epoch()}}); }
+  place_task makeLeasedPlacement(std::uint64_t Sequence,
+                                 std::uint32_t MilliCores = 1'600) {
+    place_task Placement = makePlacement(makeTask(Sequence));
+    Placement.Pool = "pool";
+    Placement.RunName = "job";
+    Placement.Needs.MilliCores = MilliCores;
+    return Placement;
+  }
+  std::size_t countStarts() { return Driver.list<start_task>().size(); }
+  std::size_t countStops() { return Driver.list<stop_task>().size(); }
+};
+
+TEST(Lease, WithoutAGrantNothingStarts) {
+  receive({makeLeasedPlacement(1)});
+  CHECK_EQUAL(0U, countStarts());
+}
+
+TEST(Lease, AGrantedTaskStartsAndIsStoppedWhenTheLeaseEnds) {
+  grant();
+  receive({makeLeasedPlacement(1)});
+  CHECK_EQUAL(1U, countStarts());
+  Driver.pass(Lease - milliseconds(50));
+  CHECK_EQUAL(0U, countStops());
+  Driver.pass(milliseconds(100));
+  CHECK_EQUAL(1U, countStops());
+}
+
+TEST(Lease, AnOldGrantThatArrivesLateRenewsNothing) {
+  const duration Old = Driver.Now.time_since_epoch();
+  grant();
+  receive({makeLeasedPlacement(1)});
+  Driver.Now += Lease * 2;
+  // As after a suspension: what was on the way is read before the timers run.
+  receive({lease_grant{.At = Old}, makeLeasedPlacement(2)});
+  CHECK_EQUAL(1U, countStarts());
+  CHECK_EQUAL(1U, countStops());
+}
+
+TEST(Lease, TasksTakeTheProcessorThatTheyDeclare) {
+  grant();
+  std::vector<peer_message> Placements;
+  for (std::uint64_t Each = 1; Each <= 12; ++Each) {
+    Placements.emplace_back(makeLeasedPlacement(Each));
+  }
+  receive(std::move(Placements));
+  CHECK_EQUAL(10U, countStarts());
+  Driver.feed(run_stopped{.Task = makeTask(1), .Reason = "stopped"});
+  CHECK_EQUAL(11U, countStarts());
+}
+
+TEST(Lease, ARunOverItsLimitIsStopped) {
+  grant();
+  place_task Placement = makeLeasedPlacement(1);
+  Placement.RunLimit = milliseconds(100);
+  receive({Placement});
+  Driver.pass(milliseconds(150));
+  CHECK_EQUAL(1U, countStops());
+}
+
+TEST(Lease, ATaskThatNeverFitsIsGivenBack) {
+  grant();
+  receive({makeLeasedPlacement(1, 20'000)});
+  CHECK_EQUAL(0U, countStarts());
+}
--- /dev/null
+++ b/tests/site/formats_test.cpp
@@ -0,0 +1,115 @@
+// What the adapter reads from the platform, good and bad.
+#include <crocuswood/site.h>
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::site;
+
+namespace {
+
+constexpr const char *Heartbeat =
+    R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"asolo",)"
+    R"("version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"born":1785816747666,)"
+    R"("labels":["a","r1-3"],"clock_ms":482113,"call_seq":4})";
+
+std::string replace(std::string Text, const std::string &Old,
+                    const std::string &New) {
+  return Text.replace(Text.find(Old), Old.size(), New);
+}
+
+template <class Value> bool hasFault(const checked<Value> &Parsed) {
+  return std::holds_alternative<findings>(Parsed);
+}
+
+constexpr const char *Job =
+    R"({"spec":"text","phases":[{"count":3,"cpu":1800,"mem_mb":64,)"
+    R"("est_runtime_ms":38}],"best_effort":true})";
+
+} // namespace
+
+TEST_GROUP(Formats){};
+
+TEST(Formats, AHeartbeatNamesTheEndpoint) {
+  const auto Parsed = parseHeartbeat("i-1", Heartbeat);
+  CHECK_FALSE(hasFault(Parsed));
+  const auto &Report = std::get<runner_report>(Parsed);
+  CHECK_EQUAL(16'000U, Report.Announcement.Offer.MilliCores);
+  CHECK_EQUAL(std::string("1785816747666"), Report.Announcement.Life);
+  CHECK_TRUE(Report.Announcement.Offer.State == endpoint_state::Serving);
+  CHECK_EQUAL(4U, Report.Sequence);
+}
+
+TEST(Formats, HeartbeatsOfOtherWritersAreFaults) {
+  for (const auto &[Old, New] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"sleepy\""},
+           {"\"slots\":8", "\"slots\":\"8\""},
+           {"\"cpu\":16000", "\"cpu\":-1"},
+           {"10.128.0.9:8080", "nowhere"},
+           {"\"call_seq\":4", "\"call\":4"},
+           {"{\"service\"", "[\"service\""}}) {
+    CHECK_TRUE(hasFault(parseHeartbeat("i-1", replace(Heartbeat, Old, New))));
+  }
+  CHECK_TRUE(hasFault(parseHeartbeat("i-1", "\xff\xfe")));
+}
+
+TEST(Formats, ADrainingRunnerLeaves) {
+  const auto Parsed =
+      parseHeartbeat("i-1", replace(Heartbeat, "ready", "draining"));
+  CHECK_TRUE(std::get<runner_report>(Parsed).Announcement.Offer.State ==
+             endpoint_state::Leaving);
+}
+
+TEST(Formats, AJobOfOneStepHasItsTasks) {
+  const auto Parsed = parseJob(Job);
+  CHECK_FALSE(hasFault(Parsed));
+  const auto &Request = std::get<job_request>(Parsed);
+  CHECK_EQUAL(3U, Request.Tasks.size());
+  CHECK_EQUAL(1'800U, Request.Tasks[2].Needs.MilliCores);
+  CHECK_TRUE(Request.Repeatable);
+  CHECK_TRUE(Request.Tasks[0].DeclaredRunTime == std::chrono::milliseconds(38));
+}
+
+TEST(Formats, WhatIsNotServedIsAFaultWithItsPlace) {
+  const auto Parsed =
+      parseJob(replace(Job, "\"count\"", "\"gang\":true,\"count\""));
+  CHECK_TRUE(hasFault(Parsed));
+  CHECK_EQUAL(std::string("phases[0].gang"),
+              std::get<findings>(Parsed).front().Path);
+  CHECK_TRUE(hasFault(parseJob(replace(Job, "true", "false"))));
+  CHECK_TRUE(hasFault(parseJob(replace(Job, "\"count\":3", "\"count\":0"))));
+  CHECK_TRUE(hasFault(parseJob("{")));
+}
+
+TEST(Formats, ARunListTellsRunsAndEnds) {
+  const auto List = parseRunList(
+      R"({"clock_ms":482113,"born":7,"active":[["5c0e.0.0.17",2,"",41]],)"
+      R"("ended_runs":[[58,"5c0e.0.0.9",1,"done",""],[59,"x",1,"done",""]]})");
+  CHECK_TRUE(List.has_value());
+  CHECK_TRUE(List->Active ==
+             (std::vector<run_id>{{.Job = "5c0e", .Task = 17, .Attempt = 2}}));
+  CHECK_EQUAL(1U, List->Ended.size());
+  CHECK_TRUE(List->Ended[0].Result == run_result::Completed);
+  CHECK_EQUAL(std::string("7"), List->Life);
+  CHECK_FALSE(parseRunList(R"({"clock_ms":1})").has_value());
+}
+
+TEST(Formats, ARouteBecomesAClass) {
+  findings Faults;
+  const auto Parsed = parseOperatorDocument(
+      R"({"version":7,"routes":[{"name":"r-1","host":"a.example",)"
+      R"("prefix":"/p/","kind":"non_idempotent","timeout_ms":1500,)"
+      R"("target_latency_ms":60,"priority":1,"service":"s",)"
+      R"("max_attempts":4,"slack_factor":1.6},{"name":"r-2"}]})",
+      &Faults);
+  const auto &Value = std::get<configuration>(Parsed);
+  CHECK_EQUAL(7U, Value.Revision);
+  CHECK_EQUAL(1U, Value.Classes.size());
+  CHECK_EQUAL(4U, Value.Classes.at("r-1").MaxAttempts);
+  CHECK_FALSE(Faults.empty());
+  CHECK_TRUE(hasFault(parseOperatorDocument("{}")));
+}
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -46,6 +46,7 @@
                     .Priority = 2,
                     .MaxAttempts = 4,
                     .RunTimeFactor = 1.6,
+                    .UsefulTargets = 2.5,
                     .Pool = "taratura",
                     .Host = "bench.example",
                     .PathPrefix = "/pivot/"}}},
