--- a/tests/http/clients_test.cpp
+++ b/tests/http/clients_test.cpp
@@ -85,7 +85,7 @@
 TEST(PlainClient, ATimeLimitAndAWriteThatEndTogetherAreSafe) {
   tcp::acceptor Acceptor(Context,
                          {boost::asio::ip::make_address("127.0.0.1"), 0});
-  constexpr std::size_t MoreThanBuffers = 32U * 1024 * 1024;
+  constexpr std::size_t MoreThanBuffers = std::size_t{32} * 1024 * 1024;
   plain_client Client(Context, 1, ShortLimit);
   std::optional<plain_reply> Result;
   Client.send({.Host = "127.0.0.1", .Port = Acceptor.local_endpoint().port()},
--- a/tests/runs/fake_runner.cpp
+++ b/tests/runs/fake_runner.cpp
@@ -4,7 +4,7 @@
 
 namespace crocuswood::runs_test {
 
-void fake_runner::end(run_id Run, run_result Result) {
+void fake_runner::end(const run_id &Run, run_result Result) {
   Active.erase(Run);
   CompletesAt.erase(Run);
   auto &Highest = Barred[{Run.Job, Run.Task}];
@@ -24,7 +24,9 @@
     end(Run, run_result::Completed);
   }
   while (Now > LeaseUntil && !Active.empty()) {
-    end(*Active.begin(), run_result::Lapsed);
+    // A copy: end() takes the run out of the set.
+    const run_id Lapsed = *Active.begin();
+    end(Lapsed, run_result::Lapsed);
   }
 }
 
--- a/tests/runs/fake_runner.h
+++ b/tests/runs/fake_runner.h
@@ -33,7 +33,7 @@
   bool hadTwins() const { return Twins; }
 
 private:
-  void end(run_id Run, run_result Result);
+  void end(const run_id &Run, run_result Result);
 
   instant Now;
   std::uint64_t Life = 1;
