Try companions again that never received a placement

The links of both companions are silenced more than once; a placement lost on a silent link comes back as unknown after the resume, and counted as if the companion had refused the task. After one loss on each companion no untried one is left, and the job fails after 2 s.

Ruled out: a time without any link of over 2 s (companions link again within 1 ms of the silence limit), a full queue (the reason is unknown).

The unit test PlacementsLostOnEveryLinkAreMadeAgain was seen failing first.

--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -129,12 +129,11 @@
     if (!State.Companions.hasNeeds(Candidate, Task.get().Needs)) {
       return false;
     }
-    const give_back Refusal{.Task = Task.Index,
-                            .Companion = Candidate,
-                            .Incarnation =
-                                State.Companions[Candidate].Id.Incarnation};
-    return std::find(Job.GivenBack.begin(), Job.GivenBack.end(), Refusal) ==
-           Job.GivenBack.end();
+    const incarnation Life = State.Companions[Candidate].Id.Incarnation;
+    return std::none_of(Job.GivenBack.begin(), Job.GivenBack.end(),
+                        [&](const give_back &Each) {
+                          return Each.isOf(Task.Index, Candidate, Life);
+                        });
   };
   const std::function<bool(companion_index)> Filter = std::ref(MayTake);
   State.Companions.refreshSome(State.now());
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -49,14 +49,19 @@
   std::uint32_t Stops = 0;    ///< Runs that ended before their time.
 };
 
-/// A companion gave a task back. It must not get it again, since it may take
+/// A companion gave a task back. It does not get it again, since it may take
 /// the second placement for a duplicate.
 struct give_back {
   std::uint32_t Task = 0;
   companion_index Companion = NoCompanion;
   incarnation Incarnation{};
+  bool Received = true; ///< False if the placement was lost on its way. Then
+                        ///< the companion may be tried again.
 
-  friend auto operator<=>(const give_back &, const give_back &) = default;
+  bool isOf(std::uint32_t Index, companion_index Candidate,
+            incarnation Life) const {
+    return Task == Index && Companion == Candidate && Incarnation == Life;
+  }
 };
 
 /// Steps of a job's life.
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -145,7 +145,8 @@
   }
   Job.GivenBack.push_back({.Task = Task.Index,
                            .Companion = Companion,
-                           .Incarnation = Record.Id.Incarnation});
+                           .Incarnation = Record.Id.Incarnation,
+                           .Received = Reason != not_started_reason::Unknown});
   if (++Task.get().Attempts >= MaxAttempts) {
     release(Task, task_state::NotStarted);
     Jobs.fail(Job, {.Code = failure_code::Overloaded,
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -51,6 +51,12 @@
   }
 }
 
+bool waiting_check::forgetUnreceived(job &Job, std::uint32_t Index) {
+  return std::erase_if(Job.GivenBack, [Index](const give_back &Each) {
+           return Each.Task == Index && !Each.Received;
+         }) > 0;
+}
+
 void waiting_check::checkRetries() {
   for (const task_id &Id : State.Retries.getTasks()) {
     job *Job = State.Jobs.find(Id.Job);
@@ -59,8 +65,9 @@
     }
     const task &Task = Job->Tasks[Id.Index];
     if (Task.State != task_state::Waiting ||
-        State.now() - Task.PlacedAt <= RetryGrace ||
-        State.Companions.hasUntried(*Job, Id.Index)) {
+        State.Companions.hasUntried(*Job, Id.Index) ||
+        forgetUnreceived(*Job, Id.Index) ||
+        State.now() - Task.PlacedAt <= RetryGrace) {
       continue;
     }
     Jobs.fail(*Job, {.Code = failure_code::NoEndpoint,
--- a/packages/entry/src/waiting_check.h
+++ b/packages/entry/src/waiting_check.h
@@ -23,6 +23,9 @@
   void demote(class_index Class);
   void checkLate(class_index Class);
   void checkRetries();
+  /// Lets companions that never received the task be tried again. \returns
+  /// false if there is none.
+  static bool forgetUnreceived(job &Job, std::uint32_t Index);
 
   entry_state &State;
   job_manager &Jobs;
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -93,6 +93,25 @@
   CHECK_TRUE(Entry.isCompleted(Request));
 }
 
+TEST(Links, PlacementsLostOnEveryLinkAreMadeAgain) {
+  const request_id Request = Entry.submit("fast");
+  const task_id Task = Entry.placed(A)[0];
+  Entry.connect(B, "runner-b");
+  Entry.end(A, Task, task_not_started{.Reason = not_started_reason::Unknown});
+  Entry.end(B, Task, task_not_started{.Reason = not_started_reason::Unknown});
+  Entry.clear();
+  for (int Each = 0; Each < 4; ++Each) {
+    Entry.receive(A, {companion_heartbeat{.ConfigurationRevision = 1}});
+    Entry.receive(B, {companion_heartbeat{.ConfigurationRevision = 1}});
+    Entry.pass(std::chrono::seconds(1));
+  }
+  CHECK_TRUE(Entry.failureOf(Request) == nullptr);
+  const bool IsOnA = !Entry.placed(A).empty();
+  CHECK_TRUE(Entry.placed(IsOnA ? A : B) == std::vector<task_id>{Task});
+  Entry.complete(IsOnA ? A : B, Task);
+  CHECK_TRUE(Entry.isCompleted(Request));
+}
+
 TEST(Links, SilenceNeverLeadsToAnotherPlacement) {
   const request_id Request = Entry.submit("fast");
   Entry.connect(B, "runner-b");
