End a stopped process at once, without the logging library's shutdown

Cause: after all steps of a planned stop (2.6 s after the signal) the process stayed until it was killed at the grace time. Every duty was joined and every object destroyed; the initializer of log4cplus, whose destructor joins threads of its own, never returned there. Entries that stop one after the other were away at the same time for 3 s longer than needed.

Ruled out, by log lines between the steps and the destructors: callers' connections (8 ms), the store (12 ms), links (3 ms), the duties' threads.

The steps of a stop now write a line each.

--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -208,6 +208,7 @@
 }
 
 void entry_process::drain() {
+  log(log_level::Info, "callers", "Closes the connections of callers.");
   if (!runAndWait(FrontThread, FrontDrainLimit,
                   [this](std::function<void()> Done) {
                     Front.drain(std::move(Done));
@@ -215,18 +216,21 @@
     log(log_level::Warn, "callers",
         "Some callers have not read their answers.");
   }
+  log(log_level::Info, "platform", "Takes the entry off the list of entries.");
   if (!runAndWait(PlatformThread, PlatformDrainLimit,
                   [this](std::function<void()> Done) {
                     Platform.finish(std::move(Done));
                   })) {
     log(log_level::Warn, "platform", "Some outcomes are not stored.");
   }
+  log(log_level::Info, "links", "Closes the links to companions.");
   if (!runAndWait(LinkThread, LinkDrainLimit,
                   [this](std::function<void()> Done) {
                     Links.drain(std::move(Done));
                   })) {
     log(log_level::Warn, "links", "Some companions have not read everything.");
   }
+  log(log_level::Info, "entry", "Ends.");
 }
 
 } // namespace
--- a/programs/crocuswoodd/log.cpp
+++ b/programs/crocuswoodd/log.cpp
@@ -2,7 +2,6 @@
 
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <nlohmann/json.hpp>
@@ -34,13 +33,8 @@
 
 } // namespace
 
-class log_setup::implementation {
-public:
-  log4cplus::Initializer Initializer;
-};
-
-log_setup::log_setup(const settings::log_settings &Settings)
-    : Impl(std::make_unique<implementation>()) {
+void setUpLog(const settings::log_settings &Settings) {
+  log4cplus::initialize();
   const bool Json = Settings.Form == "json";
   WritesJson = Json;
   const std::string Pattern =
@@ -62,8 +56,6 @@
   Root.setLogLevel(log4cplus::getLogLevelManager().fromString(Level));
 }
 
-log_setup::~log_setup() = default;
-
 void log(log_level Level, const std::string &Part,
          const std::string &Sentence) {
   log4cplus::Logger Logger = log4cplus::Logger::getInstance(Part);
--- a/programs/crocuswoodd/log.h
+++ b/programs/crocuswoodd/log.h
@@ -4,23 +4,13 @@
 
 #include <crocuswood/settings.h>
 
-#include <memory>
 #include <string>
 
 namespace crocuswood::daemon {
 
-/// Sets up the log for the whole process. Lives as long as main().
-class log_setup {
-public:
-  explicit log_setup(const settings::log_settings &Settings);
-  ~log_setup();
-  log_setup(const log_setup &) = delete;
-  log_setup &operator=(const log_setup &) = delete;
-
-private:
-  class implementation;
-  std::unique_ptr<implementation> Impl;
-};
+/// Sets up the log for the rest of the process. Called once, before any thread
+/// is started.
+void setUpLog(const settings::log_settings &Settings);
 
 /// Severity of a line.
 enum class log_level { Debug, Info, Warn, Error };
--- a/programs/crocuswoodd/main.cpp
+++ b/programs/crocuswoodd/main.cpp
@@ -9,6 +9,7 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <optional>
@@ -77,7 +78,7 @@
     return ExitBadInput;
   }
   const auto &Valid = std::get<Settings>(Parsed);
-  const log_setup Log(Valid.Process.Log);
+  setUpLog(Valid.Process.Log);
   return RunRole(Valid, SettingsFile);
 }
 
@@ -105,10 +106,14 @@
 } // namespace
 
 int main(int argc, char **argv) {
+  int Exit = ExitFailed;
   try {
-    return run(argc, argv);
+    Exit = run(argc, argv);
   } catch (const std::exception &Error) {
     std::cerr << "crocuswoodd: " << Error.what() << '\n';
-    return ExitFailed;
   }
+  // The logging library's own end joins threads that it keeps for itself and
+  // may not return within the time of a planned stop. Nothing is left to do.
+  std::cout.flush();
+  std::quick_exit(Exit);
 }
