Close idle connections of callers when the intake of a planned stop ends

Cause: callers whose open connection had no request when the stop began learnt of it only by the refusal of their next job.

Ruled out: closing idle connections with the signal. A request that is on its way then would be lost, and most connections close with their next answer.

--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -55,6 +55,7 @@
   /// Jobs name their classes, so the decisions alone need the configuration.
   void setConfiguration(const configuration & /*Configuration*/) override {}
   void announceStop() override;
+  void closeIdle() override;
   /// Answers new requests on open connections with `stopping`.
   void stopAccepting() override;
   void drain(std::function<void()> Done) override;
@@ -103,6 +104,8 @@
   checked<std::uint16_t> listen(const peer_address &Address);
   /// Answers say from now on that their connection closes.
   void announceStop();
+  /// Closes the connections on which no request waits for its answer.
+  void closeIdle();
   void stopAccepting();
   /// Calls \p Done when every request has been answered and every connection
   /// is closed.
--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -72,18 +72,29 @@
   Acceptor.close(Ignored);
 }
 
+void connection_server::closeIdle() {
+  for (const auto &Connection : listConnections()) {
+    Connection->closeIfIdle();
+  }
+}
+
 void connection_server::drain(std::function<void()> Done) {
   stopAccepting();
   State.Draining = true;
   DrainDone = std::move(Done);
+  closeIdle();
+  finishDrain();
+}
+
+// Closing one takes it out of Connections.
+std::vector<std::shared_ptr<server_connection>>
+connection_server::listConnections() const {
   std::vector<std::shared_ptr<server_connection>> Open;
+  Open.reserve(Connections.size());
   for (const auto &[Key, Connection] : Connections) {
     Open.push_back(Connection);
   }
-  for (const auto &Connection : Open) {
-    Connection->closeIfIdle();
-  }
-  finishDrain();
+  return Open;
 }
 
 std::uint32_t connection_server::getConnections() const {
@@ -177,12 +188,7 @@
       return;
     }
     const auto Now = steady_clock::now();
-    std::vector<std::shared_ptr<server_connection>> Open;
-    Open.reserve(Connections.size());
-    for (const auto &[Key, Connection] : Connections) {
-      Open.push_back(Connection);
-    }
-    for (const auto &Connection : Open) {
+    for (const auto &Connection : listConnections()) {
       Connection->checkTime(Now);
     }
     scheduleCheck();
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -34,6 +34,8 @@
   checked<std::uint16_t> listen(const peer_address &Address);
   /// Answers say from now on that their connection closes.
   void announceStop() { State.Stopping = true; }
+  /// Closes the connections on which no request waits for its answer.
+  void closeIdle();
   void stopAccepting();
   void drain(std::function<void()> Done);
   bool isAccepting() const { return Acceptor.is_open(); }
@@ -51,6 +53,7 @@
   void accepted(error_code Error, tcp::socket Socket);
   void acceptWaiting();
   void add(tcp::socket Socket);
+  std::vector<std::shared_ptr<server_connection>> listConnections() const;
   void scheduleCheck();
   void finishDrain();
 
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -122,6 +122,8 @@
 
 void plain_server::announceStop() { Impl->getServer().announceStop(); }
 
+void plain_server::closeIdle() { Impl->getServer().closeIdle(); }
+
 void plain_server::stopAccepting() { Impl->getServer().stopAccepting(); }
 
 void plain_server::drain(std::function<void()> Done) {
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -248,6 +248,9 @@
   virtual void setConfiguration(const configuration &Configuration) = 0;
   /// Asks callers to close their connections with the next answer.
   virtual void announceStop() = 0;
+  /// Closes the connections on which no request waits. Their callers learn
+  /// before their next job that they have to go to another entry.
+  virtual void closeIdle() = 0;
   /// Accepts no connection and no job any more.
   virtual void stopAccepting() = 0;
   /// Calls \p Done when every answer has been written and every connection is
--- a/programs/crocuswoodd/entry_decisions.cpp
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -108,8 +108,7 @@
           [&](entry::configuration_adopted &Adopted) {
             ToFront.push(std::move(Adopted));
           },
-          // The front refuses by itself once it stops accepting.
-          [](const entry::intake_closed &) {},
+          [&](const entry::intake_closed &Closed) { ToFront.push(Closed); },
           [&](entry::record_event &Record) {
             getRecorder().record(std::move(Record.Event));
           },
--- a/programs/crocuswoodd/front_duty.cpp
+++ b/programs/crocuswoodd/front_duty.cpp
@@ -57,7 +57,9 @@
                    [&](const entry::configuration_adopted &Adopted) {
                      Front->setConfiguration(Adopted.Configuration);
                    },
-                   [&](const stop_announced &) { Front->announceStop(); }},
+                   [&](const stop_announced &) { Front->announceStop(); },
+                   // A job on such a connection would only be refused.
+                   [&](const entry::intake_closed &) { Front->closeIdle(); }},
         Command);
   }
 }
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -56,7 +56,7 @@
 struct stop_announced {};
 using front_command =
     std::variant<entry::answer_caller, entry::configuration_adopted,
-                 stop_announced>;
+                 entry::intake_closed, stop_announced>;
 
 // Platform to decisions.
 
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -226,6 +226,19 @@
   CHECK_EQUAL(1U, Events.Jobs.size());
 }
 
+TEST(CallerFront, IdleConnectionsCloseAheadOfTheRest) {
+  start();
+  raw_connection Waiting(Context, Port);
+  raw_connection Idle(Context, Port);
+  Waiting.send(submission("1"));
+  CHECK_TRUE(waitForJobs(1));
+  Front->announceStop();
+  Front->closeIdle();
+  CHECK_TRUE(Idle.waitClosed());
+  answerEcho(0);
+  CHECK_TRUE(Waiting.waitFor("200 OK"));
+}
+
 TEST(CallerFront, ConnectionsThatWaitToBeAcceptedAreAnsweredOnStop) {
   start();
   raw_connection Caller(Context, Port);
