--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -232,6 +232,7 @@
   raw_connection Idle(Context, Port);
   Waiting.send(submission("1"));
   CHECK_TRUE(waitForJobs(1));
+  settle(Context);
   Front->announceStop();
   Front->closeIdle();
   CHECK_TRUE(Idle.waitClosed());
