Let all duties of a daemon share one thread

A part of it is the handing over between threads: an eventfd written and read, and a thread woken, for each item.

Rings now wake their consumer by a posted function, which takes a system call only between threads. With the setting 'threads: one' there is one thread.

--- a/packages/rings/include/crocuswood/rings.h
+++ b/packages/rings/include/crocuswood/rings.h
@@ -1,11 +1,10 @@
 /// \file
-/// Public header of the package rings: a thread for each duty, joined by
-/// bounded rings.
+/// Public header of the package rings: duties, each on a thread of its own or
+/// together on one, joined by bounded rings.
 #pragma once
 
 #include <boost/lockfree/spsc_queue.hpp>
 
-#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <iterator>
@@ -20,28 +19,18 @@
 
 namespace crocuswood::rings {
 
-/// Owns an eventfd that producers use to wake one consumer.
+/// Wakes the one consumer of some rings.
 class wake_signal {
 public:
-  wake_signal();
-  ~wake_signal();
-  wake_signal(const wake_signal &) = delete;
-  wake_signal &operator=(const wake_signal &) = delete;
-
-  /// Wakes the consumer. Several calls before it looks count as one system
-  /// call.
-  void raise();
-  /// To be called by the consumer before it looks into its rings.
-  void lower();
-  int getDescriptor() const { return Descriptor; }
-
-private:
-  int Descriptor;
-  std::atomic<bool> Raised{false};
+  virtual ~wake_signal() = default;
+  /// Makes the consumer look into its rings. Several calls before it looks
+  /// count as one. Callable from any thread.
+  virtual void raise() = 0;
 };
 
-/// A bounded ring from one producer thread to one consumer thread. Items are
-/// moved in and out; the queue's own clean-up needs them to be copyable.
+/// A bounded ring from one producer to one consumer, each on any one thread.
+/// Items are moved in and out; the queue's own clean-up needs them to be
+/// copyable.
 template <class Item> class ring {
 public:
   ring(std::size_t Capacity, wake_signal &Consumer)
@@ -70,12 +59,16 @@
   wake_signal &Signal;
 };
 
-/// A thread that runs an io_context and a drain function each time its signal
-/// is raised.
+/// Runs an io_context, and a drain function each time its signal is raised.
 class duty {
 public:
-  /// \p Name is shown by the operating system; at most 15 characters count.
+  /// A duty with a thread of its own. \p Name is shown by the operating system;
+  /// at most 15 characters count.
   explicit duty(std::string Name);
+  /// A duty on the thread and context of \p Host, which must outlive it and
+  /// starts and stops it. Without a host it has a thread of its own. Handing
+  /// items over within one thread takes no system call.
+  duty(std::string Name, duty *Host);
   /// Stops and joins.
   ~duty();
   duty(const duty &) = delete;
--- a/packages/rings/src/duty.cpp
+++ b/packages/rings/src/duty.cpp
@@ -1,12 +1,10 @@
-#include <crocuswood/rings.h>
+#include "posted_signal.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <pthread.h>
 #include <thread>
 #include <utility>
@@ -22,18 +20,16 @@
 
 class duty::implementation {
 public:
-  explicit implementation(std::string ThreadName)
-      : Name(std::move(ThreadName)), Context(1) {
+  implementation(std::string ThreadName, implementation *Host)
+      : Name(std::move(ThreadName)),
+        Own(Host == nullptr ? std::make_unique<boost::asio::io_context>(1)
+                            : nullptr),
+        Context(Host == nullptr ? *Own : Host->Context),
+        Signal(Context, [this] { wake(); }) {
     Name.resize(std::min(Name.size(), MaxThreadNameLength));
   }
 
-  ~implementation() {
-    stop();
-    // The signal owns the descriptor and closes it.
-    if (Wakeups) {
-      Wakeups->release();
-    }
-  }
+  ~implementation() { stop(); }
 
   implementation(const implementation &) = delete;
   implementation &operator=(const implementation &) = delete;
@@ -43,19 +39,18 @@
   void setDrain(std::function<void()> Function) { Drain = std::move(Function); }
 
   void start() {
-    if (Thread.joinable()) {
+    if (!Own || Thread.joinable()) {
       return;
     }
-    Context.restart();
-    if (!Wakeups) {
-      Wakeups.emplace(Context, Signal.getDescriptor());
-      waitForSignal();
-    }
+    Own->restart();
     Thread = std::thread([this] { run(); });
   }
 
   void stop() {
-    Context.stop();
+    if (!Own) {
+      return;
+    }
+    Own->stop();
     if (Thread.joinable() && Thread.get_id() != std::this_thread::get_id()) {
       Thread.join();
     }
@@ -72,30 +67,25 @@
     Context.run();
   }
 
-  void waitForSignal() {
-    Wakeups->async_wait(boost::asio::posix::stream_descriptor::wait_read,
-                        [this](const boost::system::error_code &Error) {
-                          if (Error) {
-                            return;
-                          }
-                          Signal.lower();
-                          if (Drain) {
-                            Drain();
-                          }
-                          waitForSignal();
-                        });
+  void wake() {
+    if (Drain) {
+      Drain();
+    }
   }
 
   std::string Name;
-  wake_signal Signal;
-  boost::asio::io_context Context;
-  std::optional<boost::asio::posix::stream_descriptor> Wakeups;
+  std::unique_ptr<boost::asio::io_context> Own; ///< Empty with a host.
+  boost::asio::io_context &Context;
+  posted_signal Signal;
   std::function<void()> Drain;
   std::thread Thread;
 };
 
-duty::duty(std::string Name)
-    : Impl(std::make_unique<implementation>(std::move(Name))) {}
+duty::duty(std::string Name) : duty(std::move(Name), nullptr) {}
+
+duty::duty(std::string Name, duty *Host)
+    : Impl(std::make_unique<implementation>(
+          std::move(Name), Host == nullptr ? nullptr : Host->Impl.get())) {}
 
 duty::~duty() = default;
 
--- a/packages/settings/include/crocuswood/settings.h
+++ b/packages/settings/include/crocuswood/settings.h
@@ -46,6 +46,9 @@
   duration SilenceLimit = std::chrono::seconds(2);
   interface_kind Interface = interface_kind::Own;
   lease_settings Lease;
+  /// All duties share one thread. Saves the system calls that hand work over
+  /// between threads, which count on a VM with a part of a core.
+  bool SharesThread = false;
 };
 
 struct entry_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -55,6 +55,12 @@
   Target = Name == "site" ? interface_kind::Site : interface_kind::Own;
 }
 
+void readThreads(map_reader &Reader, bool &SharesThread) {
+  std::string Name = SharesThread ? "one" : "each";
+  Reader.readChoice("threads", Name, {"each", "one"});
+  SharesThread = Name == "one";
+}
+
 void readProcess(map_reader &Reader, process_settings &Target) {
   Reader.readName("name", Target.Name, presence::Required);
   Reader.readName("zone", Target.Zone, presence::Required);
@@ -72,6 +78,7 @@
   readIntervals(Reader.readMap("intervals"), Target);
   readLease(Reader.readMap("lease"), Target.Lease);
   readInterface(Reader, Target.Interface);
+  readThreads(Reader, Target.SharesThread);
 }
 
 bool isAnyAddress(const peer_address &Address) {
--- a/programs/crocuswoodd/companion_daemon.cpp
+++ b/programs/crocuswoodd/companion_daemon.cpp
@@ -87,10 +87,12 @@
   std::atomic<bool> HasEntry{false};
 
   rings::duty DecisionThread{"decisions"};
-  rings::duty LinkThread{"links"};
-  rings::duty EndpointThread{"endpoint"};
-  rings::duty PlatformThread{"platform"};
-  rings::duty ObserverThread{"operators"};
+  rings::duty *const Host =
+      Settings.Process.SharesThread ? &DecisionThread : nullptr;
+  rings::duty LinkThread{"links", Host};
+  rings::duty EndpointThread{"endpoint", Host};
+  rings::duty PlatformThread{"platform", Host};
+  rings::duty ObserverThread{"operators", Host};
 
   rings::ring<link_item> LinksToDecisions{LinkRing, DecisionThread.getSignal()};
   rings::ring<link_command> DecisionsToLinks{LinkRing, LinkThread.getSignal()};
--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -85,10 +85,12 @@
   system_clock Clock;
 
   rings::duty FrontThread{"front"};
-  rings::duty DecisionThread{"decisions"};
-  rings::duty LinkThread{"links"};
-  rings::duty PlatformThread{"platform"};
-  rings::duty ObserverThread{"operators"};
+  rings::duty *const Host =
+      Settings.Process.SharesThread ? &FrontThread : nullptr;
+  rings::duty DecisionThread{"decisions", Host};
+  rings::duty LinkThread{"links", Host};
+  rings::duty PlatformThread{"platform", Host};
+  rings::duty ObserverThread{"operators", Host};
 
   rings::ring<front_item> FrontToDecisions{JobRing, DecisionThread.getSignal()};
   rings::ring<front_command> DecisionsToFront{JobRing, FrontThread.getSignal()};
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -131,6 +131,15 @@
   CHECK_TRUE(hasFaultAt(Faults, 14, 12, "intervals.silence"));
 }
 
+TEST(Settings, DutiesShareAThreadOnlyIfAsked) {
+  const auto Default = settings::parseEntry(EntryText, "entry.yaml");
+  CHECK_FALSE(std::get<settings::entry_settings>(Default).Process.SharesThread);
+  const std::string Text = std::string(EntryText) + "threads: one\n";
+  const auto Shared = settings::parseEntry(Text, "entry.yaml");
+  CHECK_TRUE(std::get<settings::entry_settings>(Shared).Process.SharesThread);
+  CHECK_EQUAL(1U, faultsOf(std::string(EntryText) + "threads: two\n").size());
+}
+
 TEST(Settings, AnEntryMustAdvertiseAReachableAddress) {
   std::string Text = EntryText;
   Text.erase(Text.find("advertise"),
