Keep links without work quiet and grant leases when tasks need them

Cause: an entry with 60 companions exchanges 1,500 heartbeats a second, each of which carries a lease, whether the link has work or not.

A link with tasks, or with ends that are not acknowledged, keeps its interval (80 ms) and its silence limit. A task placed on a link that was idle waits at the companion until the entry has answered its request for a lease; without one for a lease's time it is given back. Tasks of other entries pass it.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -28,6 +28,7 @@
   std::vector<peer_address>
       Bootstrap; ///< Dialled while no entry is known: the balancer.
   duration HeartbeatInterval = std::chrono::milliseconds(500);
+  duration IdleHeartbeatInterval{}; ///< Of links without work; 0 for the same.
   duration SilenceLimit =
       std::chrono::seconds(2); ///< A link silent for longer is dialled anew.
   duration EntryLossLimit =
--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -357,10 +357,7 @@
 
 void core::implementation::addHeartbeats(const step &Step) {
   for (const link_id Id : Links.listIdle(Step.Now)) {
-    Links.find(Id)->Unsent.emplace_back(
-        companion_heartbeat{.ConfigurationRevision = Configuration.Revision,
-                            .Load = Desk.refreshLoad(),
-                            .Entries = Links.countLinked()});
+    Links.find(Id)->Unsent.emplace_back(makeHeartbeat());
   }
 }
 
@@ -377,10 +374,41 @@
   for (auto &[Id, Peer] : Entries.getPeers()) {
     if (Step.Now >= Peer.LeaseUntil) {
       Desk.endLease(Step, Peer);
+      askForLease(Step, Peer);
     }
   }
 }
 
+// On a link that was idle the latest grant is older than a lease.
+void core::implementation::askForLease(const step &Step, entry_peer &Peer) {
+  link_state *Link = Peer.Link ? Links.find(*Peer.Link) : nullptr;
+  if (Link == nullptr || !Desk.hasQueued(Peer.Id.Incarnation) ||
+      Step.Now - Peer.LeaseAskedAt < Options.HeartbeatInterval) {
+    return;
+  }
+  Peer.LeaseAskedAt = Step.Now;
+  // Every envelope asks for a lease.
+  Link->Unsent.emplace_back(makeHeartbeat());
+}
+
+void core::implementation::noteActivity(const step &Step) {
+  for (auto &[Id, Link] : Links.getLinks()) {
+    if (!Link.Entry) {
+      continue;
+    }
+    const entry_peer *Peer = Entries.find(*Link.Entry);
+    Link.Activity.note(Peer != nullptr && (Desk.hasTasks(*Link.Entry) ||
+                                           Peer->Ends.getSize() > 0),
+                       Step.Now);
+  }
+}
+
+companion_heartbeat core::implementation::makeHeartbeat() {
+  return {.ConfigurationRevision = Configuration.Revision,
+          .Load = Desk.refreshLoad(),
+          .Entries = Links.countLinked()};
+}
+
 void core::implementation::on(const step &Step,
                               const stop_requested & /*Event*/) {
   if (Stopping) {
@@ -401,14 +429,15 @@
     LastRunEnd = Step.Now;
   }
   Links.dialDue(Step);
-  const auto Next = findNextWake();
+  noteActivity(Step);
+  const auto Next = findNextWake(Step.Now);
   if (Next && (!Wake || *Next < *Wake)) {
     Wake = Next;
     Step.Actions.emplace_back(wake_at{.At = *Next});
   }
 }
 
-std::optional<instant> core::implementation::findNextWake() const {
+std::optional<instant> core::implementation::findNextWake(instant Now) const {
   std::optional<instant> Next = Links.getNextWake();
   const auto Consider = [&Next](std::optional<instant> At) {
     if (At) {
@@ -421,8 +450,8 @@
     if (!Peer.Gone && !Peer.Link) {
       Consider(Peer.LinklessSince + Options.EntryLossLimit);
     }
-    if (Options.EntryLease > duration::zero() && Desk.hasLeased(Id)) {
-      Consider(Peer.LeaseUntil);
+    if (Options.EntryLease > duration::zero()) {
+      Consider(Desk.getLeaseWake(Peer, Now));
     }
   }
   if (Stopping && !StopFinished) {
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -66,9 +66,14 @@
   void dropLostEntries(const step &Step);
   void addHeartbeats(const step &Step);
   void checkLeases(const step &Step);
+  /// Asks an entry for a lease that tasks wait for.
+  void askForLease(const step &Step, entry_peer &Peer);
+  /// Tells the links which of them have work.
+  void noteActivity(const step &Step);
+  companion_heartbeat makeHeartbeat();
   void grantLease(entry_peer &Peer, const lease_grant &Grant);
   bool isFinished(instant Now) const;
-  std::optional<instant> findNextWake() const;
+  std::optional<instant> findNextWake(instant Now) const;
 
   const options Options;
   configuration Configuration;
--- a/packages/companion/src/entry_links.cpp
+++ b/packages/companion/src/entry_links.cpp
@@ -13,7 +13,10 @@
 } // namespace
 
 entry_links::entry_links(const options &Options)
-    : Options(Options), Dials(!Options.AwaitEndpoint), Generator(Options.Seed) {
+    : Options(Options), Intervals{.Heartbeat = Options.HeartbeatInterval,
+                                  .Idle = Options.IdleHeartbeatInterval,
+                                  .Silence = Options.SilenceLimit},
+      Dials(!Options.AwaitEndpoint), Generator(Options.Seed) {
   for (const peer_address &Address : Options.Bootstrap) {
     Addresses[Address].Bootstrap = true;
   }
@@ -128,10 +131,16 @@
   }
 }
 
+instant entry_links::getDeadline(const link_state &Link) const {
+  // Nothing is idle about a link whose entry has not said hello yet.
+  return Link.Entry ? Link.Activity.getDeadline(Intervals, Link.LastHeard)
+                    : Link.LastHeard + Intervals.Silence;
+}
+
 std::vector<link_id> entry_links::listSilent(instant Now) const {
   std::vector<link_id> Silent;
   for (const auto &[Id, Link] : Links) {
-    if (Now - Link.LastHeard >= Options.SilenceLimit) {
+    if (Now >= getDeadline(Link)) {
       Silent.push_back(Id);
     }
   }
@@ -141,7 +150,8 @@
 std::vector<link_id> entry_links::listIdle(instant Now) const {
   std::vector<link_id> Idle;
   for (const auto &[Id, Link] : Links) {
-    if (Link.Entry && Now - Link.LastSent >= Options.HeartbeatInterval) {
+    if (Link.Entry &&
+        Now - Link.LastSent >= Link.Activity.getInterval(Intervals)) {
       Idle.push_back(Id);
     }
   }
@@ -159,9 +169,9 @@
     }
   }
   for (const auto &[Id, Link] : Links) {
-    Consider(Link.LastHeard + Options.SilenceLimit);
+    Consider(getDeadline(Link));
     if (Link.Entry) {
-      Consider(Link.LastSent + Options.HeartbeatInterval);
+      Consider(Link.LastSent + Link.Activity.getInterval(Intervals));
     }
   }
   return Next;
--- a/packages/companion/src/entry_links.h
+++ b/packages/companion/src/entry_links.h
@@ -23,6 +23,7 @@
   std::optional<incarnation> Entry; ///< Known from its hello on.
   instant LastHeard;                ///< The time of the dial at first.
   instant LastSent;
+  link_activity Activity;
   std::vector<peer_message> Unsent;
 };
 
@@ -77,7 +78,10 @@
   bool isLinked(incarnation Entry) const;
   void release(instant Now, const link_state &Link, duration Pause);
 
+  instant getDeadline(const link_state &Link) const;
+
   const options &Options;
+  link_intervals Intervals;
   bool Dials;
   spread_generator Generator;
   std::map<peer_address, address_state> Addresses;
--- a/packages/companion/src/entry_registry.h
+++ b/packages/companion/src/entry_registry.h
@@ -27,6 +27,7 @@
   bool Stopping = false;            ///< It shuts down and places nothing new.
   bool LeavingSeen = false;         ///< Said on the present link.
   instant LeaseUntil;               ///< Its tasks may run and start until then.
+  instant LeaseAskedAt;             ///< Out of turn, for tasks that wait.
   bool ResendEnds = false; ///< A new link has not carried the ends yet.
   task_history History;
   retained_ends Ends;
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -39,7 +39,8 @@
   Queue.add(queued_task{.Placement = std::move(Placement),
                         .StartBy = StartBy,
                         .Deadline = Deadline,
-                        .Room = Room});
+                        .Room = Room,
+                        .QueuedAt = Step.Now});
 }
 
 std::optional<not_started_reason>
@@ -193,7 +194,9 @@
 void task_desk::startTasks(const step &Step) {
   giveBackExpired(Step);
   while (hasFreeSlot()) {
-    const queued_task *First = Queue.getFirst();
+    const queued_task *First = Queue.getFirst([&](incarnation Entry) {
+      return isVouchedFor(Entry, Step.Now);
+    });
     if (First == nullptr || !hasResourcesFor(First->Placement)) {
       return;
     }
@@ -201,6 +204,14 @@
   }
 }
 
+bool task_desk::isVouchedFor(incarnation Entry, instant Now) const {
+  if (Options.EntryLease == duration::zero()) {
+    return true;
+  }
+  const entry_peer *Peer = Entries.find(Entry);
+  return Peer != nullptr && Now < Peer->LeaseUntil;
+}
+
 void task_desk::giveBackExpired(const step &Step) {
   while (const auto Task = Queue.findExpired(Step.Now)) {
     Queue.remove(*Task);
@@ -283,7 +294,8 @@
 
 void task_desk::endLease(const step &Step, const entry_peer &Peer) {
   const incarnation Entry = Peer.Id.Incarnation;
-  for (const task_id &Task : Queue.listTasks(Entry)) {
+  for (const task_id &Task :
+       Queue.listOlder(Entry, Step.Now - Options.EntryLease)) {
     Queue.remove(Task);
     refuse(Step, Task, not_started_reason::Withdrawn);
   }
@@ -294,12 +306,19 @@
   }
 }
 
-bool task_desk::hasLeased(incarnation Entry) const {
-  const auto IsLeased = [Entry](const auto &Item) {
-    return Item.first.Job.Entry == Entry && !Item.second.StopAsked;
-  };
-  return !Queue.listTasks(Entry).empty() ||
-         std::ranges::any_of(Running, IsLeased);
+bool task_desk::hasTasks(incarnation Entry) const {
+  const auto [Queued, Runs] = countTasks(Entry);
+  return Queued > 0 || Runs > 0;
+}
+
+std::optional<instant> task_desk::getLeaseWake(const entry_peer &Peer,
+                                               instant Now) const {
+  if (Now < Peer.LeaseUntil) {
+    return hasTasks(Peer.Id.Incarnation) ? std::optional(Peer.LeaseUntil)
+                                         : std::nullopt;
+  }
+  const auto Oldest = Queue.findOldest(Peer.Id.Incarnation);
+  return Oldest ? std::optional(*Oldest + Options.EntryLease) : std::nullopt;
 }
 
 void task_desk::stopOverdue(const step &Step) {
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -51,16 +51,23 @@
   /// Gives all queued tasks back.
   void giveBackQueued(const step &Step, not_started_reason Reason);
   /// Stops everything of an entry whose lease has ended, and gives back what
-  /// it has queued.
+  /// has been queued for longer than a lease. The rest waits for a new one.
   void endLease(const step &Step, const entry_peer &Peer);
-  /// \returns whether \p Entry has tasks that depend on its lease.
-  bool hasLeased(incarnation Entry) const;
+  /// \returns whether tasks of \p Entry are queued or run.
+  bool hasTasks(incarnation Entry) const;
+  /// \returns when endLease() has something to do.
+  std::optional<instant> getLeaseWake(const entry_peer &Peer,
+                                      instant Now) const;
   /// Stops runs that have lasted longer than their placements allow.
   void stopOverdue(const step &Step);
   /// Drops the queued tasks and the ends of an entry that is gone.
   void dropEntry(const step &Step, entry_peer &Peer);
 
   bool hasFreeSlot() const;
+  /// \returns whether tasks of \p Entry wait to be started.
+  bool hasQueued(incarnation Entry) const {
+    return !Queue.listTasks(Entry).empty();
+  }
   bool isIdle() const { return Running.empty() && Queue.getSize() == 0; }
   std::uint64_t getStarted() const { return Started; }
   /// \returns when a queued task expires or a run becomes overdue.
@@ -95,6 +102,8 @@
   /// \returns what the task needs, with the class's needs filled in.
   task_needs needsOf(const place_task &Placement) const;
   const class_spec *findClass(const std::string &Name) const;
+  /// \returns whether \p Entry vouches for its tasks now.
+  bool isVouchedFor(incarnation Entry, instant Now) const;
   void refuse(const step &Step, const task_id &Task, not_started_reason Reason);
   /// Records, keeps and sends an end.
   void finish(const step &Step, const task_id &Task, task_end End,
--- a/packages/companion/src/task_queue.cpp
+++ b/packages/companion/src/task_queue.cpp
@@ -1,5 +1,7 @@
 #include "task_queue.h"
 
+#include <algorithm>
+
 namespace crocuswood::companion {
 
 namespace {
@@ -40,8 +42,35 @@
   return Removed;
 }
 
-const queued_task *task_queue::getFirst() const {
-  return Order.empty() ? nullptr : &Order.begin()->second;
+const queued_task *task_queue::getFirst(
+    const std::function<bool(incarnation)> &MayStart) const {
+  for (const auto &[Position, Task] : Order) {
+    if (MayStart(Task.Placement.Task.Job.Entry)) {
+      return &Task;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<instant> task_queue::findOldest(incarnation Entry) const {
+  std::optional<instant> Oldest;
+  for (const auto &[Position, Task] : Order) {
+    if (Task.Placement.Task.Job.Entry == Entry) {
+      Oldest = std::min(Oldest.value_or(Task.QueuedAt), Task.QueuedAt);
+    }
+  }
+  return Oldest;
+}
+
+std::vector<task_id> task_queue::listOlder(incarnation Entry,
+                                           instant QueuedAt) const {
+  std::vector<task_id> Tasks;
+  for (const auto &[Position, Task] : Order) {
+    if (Task.Placement.Task.Job.Entry == Entry && Task.QueuedAt <= QueuedAt) {
+      Tasks.push_back(Task.Placement.Task);
+    }
+  }
+  return Tasks;
 }
 
 std::optional<task_id> task_queue::findExpired(instant Now) const {
--- a/packages/companion/src/task_queue.h
+++ b/packages/companion/src/task_queue.h
@@ -5,6 +5,7 @@
 #include <crocuswood/model.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +22,7 @@
   instant StartBy; ///< When it must start to meet its target.
   std::optional<instant> Deadline;
   std::uint32_t Room = SlotRoom; ///< That it will take.
+  instant QueuedAt;
 };
 
 /// Waiting tasks, by priority and then the least slack first.
@@ -30,8 +32,9 @@
   /// \returns nothing if \p Task is not queued.
   std::optional<queued_task> remove(const task_id &Task);
   bool contains(const task_id &Task) const { return Positions.contains(Task); }
-  /// \returns null when the queue is empty.
-  const queued_task *getFirst() const;
+  /// \returns the first task whose entry \p MayStart, or null.
+  const queued_task *
+  getFirst(const std::function<bool(incarnation)> &MayStart) const;
   /// \returns a task whose deadline is not after \p Now.
   std::optional<task_id> findExpired(instant Now) const;
   std::optional<instant> getNextDeadline() const;
@@ -39,6 +42,10 @@
   std::vector<task_id> listTasks() const;
   /// \returns the tasks of one entry in the order of their slack.
   std::vector<task_id> listTasks(incarnation Entry) const;
+  /// \returns when the longest waiting task of \p Entry was queued.
+  std::optional<instant> findOldest(incarnation Entry) const;
+  /// \returns the tasks of one entry that were queued at \p QueuedAt or before.
+  std::vector<task_id> listOlder(incarnation Entry, instant QueuedAt) const;
   std::uint32_t getSize() const {
     return static_cast<std::uint32_t>(Order.size());
   }
--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -35,6 +35,7 @@
   std::uint64_t Seed = 0; ///< Of the core's own generator.
   policy_kind Policy = policy_kind::Crocuswood;
   duration HeartbeatInterval = std::chrono::milliseconds(500);
+  duration IdleHeartbeatInterval{}; ///< Of links without work; 0 for the same.
   duration SilenceLimit =
       std::chrono::seconds(2); ///< A link silent for longer is closed.
   duration LossLimit =
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -34,6 +34,7 @@
   instant LinkLostAt; ///< While there is no link.
   instant HeardAt;
   instant SentAt;
+  link_activity Activity;
 
   std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
   /// Placements that the last load heard can't have counted.
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -26,8 +26,10 @@
 
 link_manager::link_manager(entry_state &State, task_ends &Ends,
                            configuration_keeper &Configurations, health &Health)
-    : State(State), Ends(Ends), Configurations(Configurations), Health(Health) {
-}
+    : State(State), Ends(Ends), Configurations(Configurations), Health(Health),
+      Intervals{.Heartbeat = State.Options.HeartbeatInterval,
+                .Idle = State.Options.IdleHeartbeatInterval,
+                .Silence = State.Options.SilenceLimit} {}
 
 void link_manager::open(link_id Link) {
   Pending[static_cast<std::uint64_t>(Link)] = State.now();
@@ -209,6 +211,12 @@
             companion_record &Record = State.Companions[Companion];
             Record.LeaseStamp = Request.At;
             Record.LeaseAsked = true;
+            if (!Record.Outstanding.empty() &&
+                State.now() - Record.GrantedAt >=
+                    2 * State.Options.HeartbeatInterval) {
+              // Tasks placed on a link that was idle start with the grant.
+              sendHeartbeat(Companion);
+            }
           },
           [&](configuration_push &Push) {
             companion_record &Record = State.Companions[Companion];
@@ -289,12 +297,16 @@
     }
     return;
   }
-  if (State.now() - Record.HeardAt > State.Options.SilenceLimit) {
+  // The companion waits for the acknowledgements of its ends, too.
+  Record.Activity.note(!Record.Outstanding.empty() ||
+                           Record.Outbox.hasAcknowledgements(),
+                       State.now());
+  if (State.now() > Record.Activity.getDeadline(Intervals, Record.HeardAt)) {
     State.Sink.recordPeer(event_kind::LinkSilent, Record.Id.Name);
     dropLink(Companion, "The link was silent.");
     return;
   }
-  if (State.now() - Record.SentAt >= State.Options.HeartbeatInterval) {
+  if (State.now() - Record.SentAt >= Record.Activity.getInterval(Intervals)) {
     sendHeartbeat(Companion);
   }
 }
--- a/packages/entry/src/link_manager.h
+++ b/packages/entry/src/link_manager.h
@@ -51,6 +51,7 @@
   task_ends &Ends;
   configuration_keeper &Configurations;
   health &Health;
+  link_intervals Intervals;
   /// Links without a hello yet, and when they were opened.
   std::unordered_map<std::uint64_t, instant> Pending;
 };
--- a/packages/entry/src/outbox.h
+++ b/packages/entry/src/outbox.h
@@ -33,6 +33,7 @@
   /// \returns whether an envelope has to be sent. Acknowledgements alone wait
   /// for one.
   bool isDue() const;
+  bool hasAcknowledgements() const { return !Acknowledgements.empty(); }
   const std::vector<pending_placement> &getPlacements() const {
     return Placements;
   }
--- a/packages/model/include/crocuswood/model.h
+++ b/packages/model/include/crocuswood/model.h
@@ -11,6 +11,7 @@
 #include <crocuswood/model/findings.h>
 #include <crocuswood/model/ids.h>
 #include <crocuswood/model/job.h>
+#include <crocuswood/model/link_activity.h>
 #include <crocuswood/model/payload.h>
 #include <crocuswood/model/peer_message.h>
 #include <crocuswood/model/text.h>
--- a/packages/settings/include/crocuswood/settings.h
+++ b/packages/settings/include/crocuswood/settings.h
@@ -43,6 +43,8 @@
   std::string TimelineFile;              ///< JSON lines; empty: not written.
   duration PlatformPollInterval = std::chrono::seconds(2);
   duration HeartbeatInterval = std::chrono::milliseconds(500);
+  /// Of links without work. The same as HeartbeatInterval unless set.
+  duration IdleHeartbeatInterval = std::chrono::milliseconds(500);
   duration SilenceLimit = std::chrono::seconds(2);
   interface_kind Interface = interface_kind::Own;
   lease_settings Lease;
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -33,6 +33,9 @@
 
 void readIntervals(map_reader Reader, process_settings &Target) {
   Reader.readDuration("heartbeat", Target.HeartbeatInterval, HeartbeatBounds);
+  Target.IdleHeartbeatInterval = Target.HeartbeatInterval;
+  Reader.readDuration("idle_heartbeat", Target.IdleHeartbeatInterval,
+                      HeartbeatBounds);
   Reader.readDuration("silence", Target.SilenceLimit, SilenceBounds);
   Reader.readDuration("platform_poll", Target.PlatformPollInterval,
                       PlatformPollBounds);
@@ -40,6 +43,10 @@
       LeastHeartbeatsInSilence * Target.HeartbeatInterval) {
     Reader.addFault("silence", "This must be at least twice the heartbeat.");
   }
+  if (Target.IdleHeartbeatInterval < Target.HeartbeatInterval) {
+    Reader.addFault("idle_heartbeat",
+                    "This must not be shorter than the heartbeat.");
+  }
   Reader.finish();
 }
 
--- a/programs/crocuswoodd/companion_daemon.cpp
+++ b/programs/crocuswoodd/companion_daemon.cpp
@@ -54,6 +54,7 @@
           .Seed = static_cast<std::uint64_t>(Life),
           .Bootstrap = listBootstrap(Settings),
           .HeartbeatInterval = Settings.Process.HeartbeatInterval,
+          .IdleHeartbeatInterval = Settings.Process.IdleHeartbeatInterval,
           .SilenceLimit = Settings.Process.SilenceLimit,
           .EntryLossLimit =
               HasLeases ? LeasedLossLimit : companion::options().EntryLossLimit,
--- a/tests/companion/lease_test.cpp
+++ b/tests/companion/lease_test.cpp
@@ -14,6 +14,7 @@
   Options.EntryLease = Lease;
   Options.AwaitEndpoint = true;
   Options.HeartbeatInterval = milliseconds(80);
+  Options.IdleHeartbeatInterval = milliseconds(400);
   Options.SilenceLimit = seconds(5);
   return Options;
 }
@@ -85,6 +86,55 @@
   CHECK_EQUAL(1U, countStops());
 }
 
+TEST(Lease, ATaskOnALinkThatWasIdleAsksForALeaseAndStartsWithIt) {
+  grant();
+  Driver.pass(Lease * 2);
+  const std::size_t Asked = Driver.listSent<lease_request>(Link).size();
+  receive({makeLeasedPlacement(1)});
+  CHECK_EQUAL(0U, countStarts());
+  CHECK_EQUAL(Asked + 1, Driver.listSent<lease_request>(Link).size());
+  grant();
+  CHECK_EQUAL(1U, countStarts());
+}
+
+TEST(Lease, ATaskThatGetsNoLeaseIsGivenBackAndNeverStarts) {
+  receive({makeLeasedPlacement(1)});
+  Driver.pass(Lease - milliseconds(50));
+  CHECK_FALSE(Driver.findGivenBack(Link).has_value());
+  Driver.pass(milliseconds(100));
+  CHECK_TRUE(Driver.findGivenBack(Link) == not_started_reason::Withdrawn);
+  grant();
+  CHECK_EQUAL(0U, countStarts());
+}
+
+TEST(Lease, TasksOfAnEntryWithoutALeaseDontHoldUpThoseOfOthers) {
+  receive({makeLeasedPlacement(1)});
+  Driver.feed(entries_read{.Entries = {AddressA, AddressB}});
+  const link_id Other = Driver.open(AddressB, EntryB, "entry-b");
+  Driver.feed(envelope_received{
+      .Link = Other,
+      .Messages = {lease_grant{.At = Driver.Now.time_since_epoch()}}});
+  place_task Placement = makeLeasedPlacement(2);
+  Placement.Task.Job.Entry = EntryB;
+  Driver.feed(envelope_received{.Link = Other, .Messages = {Placement}});
+  CHECK_EQUAL(1U, countStarts());
+}
+
+TEST(Lease, LinksWithoutWorkAreQuiet) {
+  Driver.clear();
+  Driver.pass(seconds(2));
+  const std::size_t Quiet = Driver.listSent<companion_heartbeat>(Link).size();
+  CHECK_TRUE(Quiet >= 4 && Quiet <= 5);
+  Driver.clear();
+  receive({lease_grant{.At = Driver.Now.time_since_epoch()},
+           makeLeasedPlacement(1)});
+  for (int Each = 0; Each < 10; ++Each) {
+    Driver.pass(milliseconds(100));
+    grant();
+  }
+  CHECK_TRUE(Driver.listSent<companion_heartbeat>(Link).size() >= 9);
+}
+
 TEST(Lease, TasksTakeTheProcessorThatTheyDeclare) {
   grant();
   std::vector<peer_message> Placements;
