Write the log in few calls and hand items over without a post

Cause: an entry with 60 jobs a second on 60 links makes 1,000 epoll_wait, 300 write and 150 poll calls a second besides its traffic. The log was written after every turn, each hand-over between duties of one thread was a post, and the slots of each class were summed over all buckets of the index 25 times a second.

The log is written every 20 ms; a process that is killed loses the lines of that time. Duties of one thread run each other's signals in a loop. Sums by class follow the changes of companions.

--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -194,9 +194,8 @@
 void task_desk::startTasks(const step &Step) {
   giveBackExpired(Step);
   while (hasFreeSlot()) {
-    const queued_task *First = Queue.getFirst([&](incarnation Entry) {
-      return isVouchedFor(Entry, Step.Now);
-    });
+    const queued_task *First = Queue.getFirst(
+        [&](incarnation Entry) { return isVouchedFor(Entry, Step.Now); });
     if (First == nullptr || !hasResourcesFor(First->Placement)) {
       return;
     }
--- a/packages/companion/src/task_queue.cpp
+++ b/packages/companion/src/task_queue.cpp
@@ -42,8 +42,8 @@
   return Removed;
 }
 
-const queued_task *task_queue::getFirst(
-    const std::function<bool(incarnation)> &MayStart) const {
+const queued_task *
+task_queue::getFirst(const std::function<bool(incarnation)> &MayStart) const {
   for (const auto &[Position, Task] : Order) {
     if (MayStart(Task.Placement.Task.Job.Entry)) {
       return &Task;
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -58,6 +58,8 @@
                                         ///< not trusted in full.
   std::vector<class_index> Barred;      ///< Classes that it must not get now.
   std::vector<class_index> Runnable;    ///< Classes that it can run, sorted.
+  std::vector<class_index> Offered;     ///< Runnable and not barred.
+  double OfferedSlots = 0;              ///< Its part in the sums by class.
   duration LeaseStamp{};                ///< Of the latest lease request.
   bool LeaseAsked = false;              ///< The request has not been answered.
   instant GrantedAt;                    ///< When a lease was last granted.
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -74,6 +74,7 @@
     Links.erase(static_cast<std::uint64_t>(*Record.Link));
   }
   setRunnable(Record, {});
+  setOffered(Record, {});
   Record.Link.reset();
   countOthers(Record);
   Capacity.remove(Index);
@@ -259,6 +260,7 @@
   countOthers(Record);
   if (!mayServe(Record)) {
     setRunnable(Record, {});
+    setOffered(Record, {});
     Capacity.remove(Index);
     return;
   }
@@ -268,6 +270,7 @@
                       Record.Barred.begin(), Record.Barred.end(),
                       std::back_inserter(Allowed));
   Capacity.set(Index, Allowed, Record.Zone == Zone, roomOf(Record, Now));
+  setOffered(Record, std::move(Allowed));
 }
 
 void companion_table::setRunnable(companion_record &Record,
@@ -320,11 +323,23 @@
 }
 
 std::uint32_t companion_table::countSlots(class_index Class) const {
-  double Slots = 0;
-  Capacity.forEach(Class, [&](companion_index Index) {
-    Slots += slotsOf(Records[Index].Endpoint);
-  });
-  return static_cast<std::uint32_t>(Slots);
+  return Class < OfferedSlots.size()
+             ? static_cast<std::uint32_t>(OfferedSlots[Class])
+             : 0;
+}
+
+void companion_table::setOffered(companion_record &Record,
+                                 std::vector<class_index> Offered) {
+  OfferedSlots.resize(
+      std::max<std::size_t>(OfferedSlots.size(), Classes.getCount()));
+  for (const class_index Class : Record.Offered) {
+    OfferedSlots[Class] -= Record.OfferedSlots;
+  }
+  Record.Offered = std::move(Offered);
+  Record.OfferedSlots = slotsOf(Record.Endpoint);
+  for (const class_index Class : Record.Offered) {
+    OfferedSlots[Class] += Record.OfferedSlots;
+  }
 }
 
 void companion_table::refreshSums(std::uint32_t Known) {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -100,6 +100,7 @@
   bool mayServe(const companion_record &Record) const;
   std::vector<class_index> runnableClasses(const companion_record &R) const;
   void setRunnable(companion_record &Record, std::vector<class_index> Runnable);
+  void setOffered(companion_record &Record, std::vector<class_index> Offered);
   std::int32_t roomOf(const companion_record &Record, instant Now) const;
   void countOthers(companion_record &Record);
 
@@ -112,6 +113,7 @@
   capacity_index Capacity;
   std::vector<companion_index> DirtyList;
   std::vector<std::uint32_t> Runners; ///< By class.
+  std::vector<double> OfferedSlots;   ///< By class, over all companions.
   std::uint32_t LiveEntries = 1;
   double SumOthers = 0; ///< Of all serving companions.
   double SumSlots = 0;
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -26,10 +26,10 @@
 
 link_manager::link_manager(entry_state &State, task_ends &Ends,
                            configuration_keeper &Configurations, health &Health)
-    : State(State), Ends(Ends), Configurations(Configurations), Health(Health),
-      Intervals{.Heartbeat = State.Options.HeartbeatInterval,
-                .Idle = State.Options.IdleHeartbeatInterval,
-                .Silence = State.Options.SilenceLimit} {}
+    : State(State), Ends(Ends), Configurations(Configurations),
+      Health(Health), Intervals{.Heartbeat = State.Options.HeartbeatInterval,
+                                .Idle = State.Options.IdleHeartbeatInterval,
+                                .Silence = State.Options.SilenceLimit} {}
 
 void link_manager::open(link_id Link) {
   Pending[static_cast<std::uint64_t>(Link)] = State.now();
--- a/packages/model/src/link_activity.cpp
+++ b/packages/model/src/link_activity.cpp
@@ -4,8 +4,7 @@
 
 namespace crocuswood {
 
-duration
-link_activity::getInterval(const link_intervals &Intervals) const {
+duration link_activity::getInterval(const link_intervals &Intervals) const {
   return Busy ? Intervals.Heartbeat
               : std::max(Intervals.Idle, Intervals.Heartbeat);
 }
--- a/packages/rings/src/duty.cpp
+++ b/packages/rings/src/duty.cpp
@@ -25,7 +25,8 @@
         Own(Host == nullptr ? std::make_unique<boost::asio::io_context>(1)
                             : nullptr),
         Context(Host == nullptr ? *Own : Host->Context),
-        Signal(Context, [this] { wake(); }) {
+        Signal(Context, Host == nullptr ? Local : Host->Local,
+               [this] { wake(); }) {
     Name.resize(std::min(Name.size(), MaxThreadNameLength));
   }
 
@@ -64,7 +65,9 @@
   void run() {
     pthread_setname_np(pthread_self(), Name.c_str());
     const auto Guard = boost::asio::make_work_guard(Context);
-    Context.run();
+    while (Context.run_one() > 0) {
+      Local.run();
+    }
   }
 
   void wake() {
@@ -76,6 +79,7 @@
   std::string Name;
   std::unique_ptr<boost::asio::io_context> Own; ///< Empty with a host.
   boost::asio::io_context &Context;
+  raised_signals Local; ///< Unused with a host.
   posted_signal Signal;
   std::function<void()> Drain;
   std::thread Thread;
--- a/programs/crocuswoodd/event_log.h
+++ b/programs/crocuswoodd/event_log.h
@@ -19,6 +19,7 @@
   void add(const timeline_event &Event);
   /// Writes what was added, if the reader takes it now.
   void flush();
+  bool isEmpty() const { return Lines.empty(); }
 
 private:
   /// Lines of one kind within a second.
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <chrono>
 #include <set>
 #include <utility>
 
@@ -20,6 +21,9 @@
 constexpr http::server_limits OperatorLimits{.MaxConnections = 64,
                                              .MaxBodyBytes = 1024U * 1024};
 
+// Lines gather for this long, so that a busy process writes them in few calls.
+constexpr std::chrono::milliseconds LogFlushInterval{20};
+
 // Events that operators want to read about in the log.
 const std::set<event_kind> &getWarnings() {
   static const std::set<event_kind> Kinds = {
@@ -112,7 +116,7 @@
     : Self(std::move(Self)), Zone(Settings.Zone), Operators(Settings.Operators),
       FromDecisions(FromDecisions), Changes(Changes),
       Finished(std::move(Finished)), Store(Settings.TimelineEvents),
-      Events(Settings.Log.Form == "json"),
+      Events(Settings.Log.Form == "json"), FlushTimer(Duty.getContext()),
       LogsText(Settings.Log.Form != "json"),
       Server(Duty.getContext(), OperatorLimits,
              [this](const http::plain_request &Request,
@@ -148,18 +152,33 @@
                           },
                           [&](const decisions_finished &) {
                             TimelineFile.flush();
+                            this->Events.flush();
                             Finished();
                           }},
                Item);
   }
   TimelineFile.flush();
-  Events.flush();
+  scheduleFlush();
   change_item Change;
   while (Changes && Changes->FromPlatform.tryPop(Change)) {
     takeChangeItem(std::move(Change));
   }
 }
 
+void observer_duty::scheduleFlush() {
+  if (Events.isEmpty() || FlushScheduled) {
+    return;
+  }
+  FlushScheduled = true;
+  FlushTimer.expires_after(LogFlushInterval);
+  FlushTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      FlushScheduled = false;
+      Events.flush();
+    }
+  });
+}
+
 void observer_duty::takeEvent(timeline_event Event) {
   Metrics.take(Event);
   Events.add(Event);
--- a/programs/crocuswoodd/observer_duty.h
+++ b/programs/crocuswoodd/observer_duty.h
@@ -3,6 +3,7 @@
 /// operators' port.
 #pragma once
 
+#include "asio.h"
 #include "event_log.h"
 #include "items.h"
 #include "metrics.h"
@@ -48,6 +49,8 @@
   using respond = http::plain_server::respond;
 
   void takeItems();
+  /// Has the log written soon, together with what follows until then.
+  void scheduleFlush();
   void takeEvent(timeline_event Event);
   void takeChangeItem(change_item Item);
   void serve(const http::plain_request &Request, const respond &Respond);
@@ -74,6 +77,8 @@
   std::ofstream TimelineFile;
   metrics Metrics;
   event_log Events;
+  boost::asio::steady_timer FlushTimer;
+  bool FlushScheduled = false;
   bool LogsText;
   std::optional<published_status> Published;
   std::vector<platform::entry_row> Entries;
--- a/tests/rings/ring_test.cpp
+++ b/tests/rings/ring_test.cpp
@@ -94,13 +94,18 @@
 TEST(Duties, RaiseWithinTheDrainDrainsAgain) {
   duty Duty("again");
   int Drains = 0;
+  std::promise<void> Third;
   Duty.setDrain([&] {
     if (++Drains < 3) {
       Duty.getSignal().raise();
+      return;
     }
+    Third.set_value();
   });
   Duty.getSignal().raise();
-  Duty.getContext().run();
+  Duty.start();
+  Third.get_future().wait();
+  Duty.stop();
   CHECK_EQUAL(3, Drains);
 }
 
@@ -126,6 +131,38 @@
   RanLater.get_future().wait();
 }
 
+TEST(Duties, HostedDutiesHandItemsToEachOtherInOrder) {
+  constexpr int Items = 1'000;
+  constexpr std::size_t Capacity = 2;
+  duty Host("host");
+  duty Guest("guest", &Host);
+  ring<int> There(Capacity, Guest.getSignal());
+  ring<int> Back(Capacity, Host.getSignal());
+  Guest.setDrain([&] {
+    int Value = 0;
+    while (There.tryPop(Value)) {
+      Back.tryPush(int{Value});
+    }
+  });
+  int Next = 0;
+  std::promise<void> Finished;
+  Host.setDrain([&] {
+    int Value = 0;
+    while (Back.tryPop(Value)) {
+      if (Value != Next++ || Next == Items) {
+        Finished.set_value();
+        return;
+      }
+      There.tryPush(int{Next});
+    }
+  });
+  Host.start();
+  Host.post([&] { There.tryPush(0); });
+  Finished.get_future().wait();
+  Host.stop();
+  CHECK_EQUAL(Items, Next);
+}
+
 TEST(Duties, StopIsIdempotentAndAllowsANewStart) {
   duty Duty("again");
   Duty.stop();
