Refuse jobs and send callers away while an entry can't keep up

The entry measures every 50 ms how late its thread gets to its work. While it is over 40 ms late twice in a row, new jobs are refused at once, truly not run. After 0.5 s it is not ready, and once the balancer has noticed, answers close their connections, until it has kept up for 4 s. What it has not got to yet does not count as silence of a link.

--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -109,13 +109,17 @@
 };
 /// A wake-up asked for by wake_at, or any later time.
 struct timer_expired {};
+/// How late the process got to work that was due. Fed many times a second.
+struct lag_measured {
+  duration Lag{};
+};
 /// Planned stop: finish what was accepted and take nothing new.
 struct stop_requested {};
 
 using event =
     std::variant<job_submitted, job_cancelled, link_opened, envelope_received,
                  link_closed, configuration_read, entries_read, claim_answered,
-                 claim_settled, timer_expired, stop_requested>;
+                 claim_settled, timer_expired, lag_measured, stop_requested>;
 
 // Actions.
 
@@ -161,15 +165,21 @@
 struct record_event {
   timeline_event Event;
 };
+/// Whether answers close their connections, so that callers go where the
+/// balancer sends them.
+struct steer_callers {
+  bool Away = false;
+};
 /// The entry refuses new jobs from now on.
 struct intake_closed {};
 /// Everything accepted has ended and a stop was requested; the process may
 /// exit.
 struct stop_finished {};
 
-using action = std::variant<answer_caller, send_messages, close_link, ask_claim,
-                            settle_claim, wake_at, configuration_adopted,
-                            record_event, intake_closed, stop_finished>;
+using action =
+    std::variant<answer_caller, send_messages, close_link, ask_claim,
+                 settle_claim, wake_at, configuration_adopted, record_event,
+                 steer_callers, intake_closed, stop_finished>;
 
 // Status.
 
@@ -197,8 +207,8 @@
 };
 
 struct status {
-  bool Ready = false; ///< Has a configuration and a serving endpoint, and is
-                      ///< not stopping.
+  bool Ready = false; ///< Has a configuration and a serving endpoint, is not
+                      ///< stopping and keeps up with its work.
   bool Stopping = false;
   std::uint64_t ConfigurationRevision = 0;
   std::uint64_t WastedMessages =
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -9,6 +9,8 @@
 
 // Time limits are checked this many times in a heartbeat interval.
 constexpr int ChecksPerHeartbeat = 2;
+// A balancer that looks every second and needs two looks has noticed by then.
+constexpr duration BalancerTime = std::chrono::milliseconds(2'500);
 
 template <class... Handlers> struct overloads : Handlers... {
   using Handlers::operator()...;
@@ -60,10 +62,28 @@
           [&](const claim_answered &Each) { Jobs.takeClaim(Each); },
           [&](const claim_settled &Each) { Claims.noteSettled(Each); },
           [&](const timer_expired &) { WakeAt.reset(); },
+          [&](const lag_measured &Each) { takeLag(Each.Lag); },
           [&](const stop_requested &) { requestStop(); }},
       Event);
 }
 
+void core::implementation::takeLag(duration Lag) {
+  const bool WasAway = State.Overload.sendsCallersAway();
+  State.Overload.note(Lag, State.now());
+  const bool IsAway = State.Overload.sendsCallersAway();
+  if (IsAway != WasAway) {
+    State.Sink.record({.Kind = IsAway ? event_kind::EntryOverloaded
+                                      : event_kind::EntryRecovered,
+                       .Value = Lag.count()});
+    AwaySince = State.now();
+  }
+  const bool Steers = IsAway && State.now() - AwaySince >= BalancerTime;
+  if (Steers != SteersAway) {
+    SteersAway = Steers;
+    State.Sink.push(steer_callers{.Away = Steers});
+  }
+}
+
 void core::implementation::checkTimes() {
   NextCheck =
       State.now() + State.Options.HeartbeatInterval / ChecksPerHeartbeat;
@@ -157,7 +177,8 @@
     Counters.PlacedTasks = Placed[Index];
     Status.Classes[Class.Spec.Name] = Counters;
   }
-  Status.Ready = State.Configuration.Revision > 0 && Serving && !State.Draining;
+  Status.Ready = State.Configuration.Revision > 0 && Serving &&
+                 !State.Draining && !State.Overload.sendsCallersAway();
   return Status;
 }
 
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -33,6 +33,7 @@
 private:
   void dispatchEvent(event &Event);
   void checkTimes();
+  void takeLag(duration Lag);
   void checkStop();
   void scheduleWake();
   void requestStop();
@@ -52,6 +53,8 @@
   std::optional<instant> WakeAt;     ///< As last asked for.
   std::optional<instant> IntakeEnds; ///< While draining.
   bool StopReported = false;
+  instant AwaySince; ///< When callers were last sent away or taken back.
+  bool SteersAway = false;
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -7,6 +7,7 @@
 #include "companion_table.h"
 #include "generator.h"
 #include "job_table.h"
+#include "overload_guard.h"
 #include "retry_list.h"
 #include "team_table.h"
 #include "waiting_queue.h"
@@ -40,6 +41,7 @@
   configuration Configuration;
   std::vector<peer_address> Entries;
   message_counts Messages;
+  overload_guard Overload;
   std::uint32_t UnfinishedTasks = 0; ///< Of all jobs: waiting or placed.
   bool Draining = false; ///< A stop was requested; jobs are still taken.
   bool Stopping = false; ///< No job is taken any more.
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -72,6 +72,10 @@
 
 std::optional<job_failure>
 job_manager::findOverload(const job_request &Request) {
+  if (State.Overload.refusesJobs()) {
+    return notRun(failure_code::Overloaded,
+                  "This entry is behind with its work.", NotReadyRetry);
+  }
   if (State.UnfinishedTasks + Request.Tasks.size() >
       State.Options.MaxOutstandingTasks) {
     return notRun(failure_code::Overloaded,
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -301,7 +301,9 @@
   Record.Activity.note(!Record.Outstanding.empty() ||
                            Record.Outbox.hasAcknowledgements(),
                        State.now());
-  if (State.now() > Record.Activity.getDeadline(Intervals, Record.HeardAt)) {
+  // What this process has not got to yet is no silence of the companion.
+  if (State.now() - State.Overload.getLag() >
+      Record.Activity.getDeadline(Intervals, Record.HeardAt)) {
     State.Sink.recordPeer(event_kind::LinkSilent, Record.Id.Name);
     dropLink(Companion, "The link was silent.");
     return;
--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -55,6 +55,7 @@
   /// Jobs name their classes, so the decisions alone need the configuration.
   void setConfiguration(const configuration & /*Configuration*/) override {}
   void announceStop() override;
+  void steerCallers(bool Away) override;
   void closeIdle() override;
   /// Answers new requests on open connections with `stopping`.
   void stopAccepting() override;
@@ -104,6 +105,8 @@
   checked<std::uint16_t> listen(const peer_address &Address);
   /// Answers say from now on that their connection closes.
   void announceStop();
+  /// Whether answers say that their connection closes.
+  void steerCallers(bool Away);
   /// Closes the connections on which no request waits for its answer.
   void closeIdle();
   void stopAccepting();
--- a/packages/http/src/caller_front.cpp
+++ b/packages/http/src/caller_front.cpp
@@ -242,6 +242,10 @@
 
 void caller_front::announceStop() { Impl->getServer().announceStop(); }
 
+void caller_front::steerCallers(bool Away) {
+  Impl->getServer().steerCallers(Away);
+}
+
 void caller_front::closeIdle() { Impl->getServer().closeIdle(); }
 
 void caller_front::stopAccepting() { Impl->getServer().stopAccepting(); }
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -34,6 +34,8 @@
   checked<std::uint16_t> listen(const peer_address &Address);
   /// Answers say from now on that their connection closes.
   void announceStop() { State.Stopping = true; }
+  /// Whether answers say that their connection closes.
+  void steerCallers(bool Away) { State.Steering = Away; }
   /// Closes the connections on which no request waits for its answer.
   void closeIdle();
   void stopAccepting();
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -122,6 +122,10 @@
 
 void plain_server::announceStop() { Impl->getServer().announceStop(); }
 
+void plain_server::steerCallers(bool Away) {
+  Impl->getServer().steerCallers(Away);
+}
+
 void plain_server::closeIdle() { Impl->getServer().closeIdle(); }
 
 void plain_server::stopAccepting() { Impl->getServer().stopAccepting(); }
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -422,7 +422,8 @@
   if (!Slot.KeepAlive) {
     return true;
   }
-  return State.Stopping && Slots.size() == 1 && !Parser && Input.size() == 0;
+  return (State.Stopping || State.Steering) && Slots.size() == 1 && !Parser &&
+         Input.size() == 0;
 }
 
 } // namespace crocuswood::http
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -52,6 +52,7 @@
 struct server_state {
   server_limits Limits;
   bool Stopping = false; ///< Answers say `Connection: close`.
+  bool Steering = false; ///< The same, while callers should go elsewhere.
   bool Draining = false; ///< Connections without a request close.
   std::uint64_t UnfinishedBodyBytes = 0; ///< Reserved by all connections.
 };
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -78,6 +78,8 @@
   ConfigurationInForce,  ///< Value (revision).
   ConfigurationIgnored,  ///< Value (revision); not greater than the one in
                          ///< force.
+  EntryOverloaded,       ///< Value (microseconds late); callers are sent away.
+  EntryRecovered,        ///< Value (microseconds late).
   StoreDown,
   StoreUp,
 };
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of event_kind.
-constexpr std::array<std::string_view, 48> KindNames = {
+constexpr std::array<std::string_view, 50> KindNames = {
     "process_started",
     "process_stopping",
     "process_stopped",
@@ -54,6 +54,8 @@
     "configuration_accepted",
     "configuration_in_force",
     "configuration_ignored",
+    "entry_overloaded",
+    "entry_recovered",
     "store_down",
     "store_up",
 };
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -248,6 +248,9 @@
   virtual void setConfiguration(const configuration &Configuration) = 0;
   /// Asks callers to close their connections with the next answer.
   virtual void announceStop() = 0;
+  /// Whether answers close their connections, so that callers reconnect by way
+  /// of the balancer.
+  virtual void steerCallers(bool Away) = 0;
   /// Closes the connections on which no request waits. Their callers learn
   /// before their next job that they have to go to another entry.
   virtual void closeIdle() = 0;
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -14,7 +14,7 @@
 // In the order of event_kind. `%peer`, `%key`, `%value`, `%span` and `%code`
 // are replaced by the event's fields; `%value` is a plain number, `%span` a
 // number of microseconds.
-constexpr std::array<std::string_view, 48> Happenings = {
+constexpr std::array<std::string_view, 50> Happenings = {
     "process started",
     "process is stopping",
     "process stopped",
@@ -61,6 +61,8 @@
     "configuration revision %value accepted",
     "configuration revision %value in force",
     "configuration revision %value ignored",
+    "the entry can't keep up and sends callers away",
+    "the entry keeps up again",
     "table service is down",
     "table service is up",
 };
--- a/packages/timeline/src/job_story.cpp
+++ b/packages/timeline/src/job_story.cpp
@@ -38,6 +38,8 @@
   case event_kind::EndpointGone:
   case event_kind::EndpointSetAside:
   case event_kind::EndpointRestored:
+  case event_kind::EntryOverloaded:
+  case event_kind::EntryRecovered:
   case event_kind::StoreDown:
   case event_kind::StoreUp:
     return true;
--- a/programs/crocuswoodd/decision_duty.cpp
+++ b/programs/crocuswoodd/decision_duty.cpp
@@ -18,16 +18,20 @@
 // How often the state is published to the operators' port.
 constexpr duration PublishInterval = 500ms;
 
+// How often the lag is measured.
+constexpr duration LagInterval = 50ms;
+
 } // namespace
 
 class decision_duty::timers {
 public:
   explicit timers(boost::asio::io_context &Context)
-      : Wake(Context), Retry(Context), Publish(Context) {}
+      : Wake(Context), Retry(Context), Publish(Context), Lag(Context) {}
 
   boost::asio::steady_timer Wake;
   boost::asio::steady_timer Retry;
   boost::asio::steady_timer Publish;
+  boost::asio::steady_timer Lag;
 };
 
 decision_duty::decision_duty(rings::duty &Duty, const clock_port &Clock,
@@ -135,6 +139,20 @@
   });
 }
 
+// The timer waits for its turn behind everything that was ready before it.
+void decision_duty::measureLag() {
+  Timers->Lag.expires_after(LagInterval);
+  Timers->Lag.async_wait([this](const boost::system::error_code &Error) {
+    if (Error) {
+      return;
+    }
+    const auto Late = std::chrono::steady_clock::now() - Timers->Lag.expiry();
+    takeLag(Clock.now(), std::chrono::duration_cast<duration>(Late));
+    measureLag();
+    turn();
+  });
+}
+
 void decision_duty::dial(link_id Link, const peer_address &Remote) {
   ToLinks.push(dial_link{.Link = Link, .Remote = Remote});
 }
--- a/programs/crocuswoodd/decision_duty.h
+++ b/programs/crocuswoodd/decision_duty.h
@@ -51,6 +51,9 @@
   virtual void takeEntries(instant /*Now*/,
                            const std::vector<peer_address> & /*Entries*/) {}
   virtual void takeTimer(instant Now) = 0;
+  /// Told many times a second, after measureLag(), how late the duty's thread
+  /// gets to its work.
+  virtual void takeLag(instant /*Now*/, duration /*Lag*/) {}
   /// Lets the core send what it has gathered, and carries out its actions.
   virtual void finishTurn(instant Now) = 0;
   virtual status_snapshot getStatus() const = 0;
@@ -59,6 +62,7 @@
   /// any more.
   virtual bool flushOwn() = 0;
 
+  void measureLag();
   void dial(link_id Link, const peer_address &Remote);
   void send(link_id Link, std::vector<peer_message> Messages);
   void close(link_id Link);
--- a/programs/crocuswoodd/entry_decisions.cpp
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -11,7 +11,9 @@
                                  decision_rings Rings, entry_rings OwnRings)
     : decision_duty(Duty, Clock, Options.Self, Rings), Core(Options),
       OwnRings(OwnRings), ToFront(OwnRings.ToFront),
-      ToPlatform(OwnRings.ToPlatform) {}
+      ToPlatform(OwnRings.ToPlatform) {
+  measureLag();
+}
 
 void entry_decisions::handle(instant Now, entry::event Event) {
   Core.handle(Now, std::move(Event), Actions);
@@ -82,6 +84,10 @@
   handle(Now, entry::timer_expired{});
 }
 
+void entry_decisions::takeLag(instant Now, duration Lag) {
+  handle(Now, entry::lag_measured{.Lag = Lag});
+}
+
 void entry_decisions::finishTurn(instant Now) {
   Core.flush(Now, Actions);
   for (entry::action &Action : Actions) {
@@ -108,6 +114,7 @@
           [&](entry::configuration_adopted &Adopted) {
             ToFront.push(std::move(Adopted));
           },
+          [&](const entry::steer_callers &Steer) { ToFront.push(Steer); },
           [&](const entry::intake_closed &Closed) { ToFront.push(Closed); },
           [&](entry::record_event &Record) {
             getRecorder().record(std::move(Record.Event));
--- a/programs/crocuswoodd/entry_decisions.h
+++ b/programs/crocuswoodd/entry_decisions.h
@@ -30,6 +30,7 @@
   void takeLinkItem(instant Now, link_item Item) override;
   void takeStop(instant Now) override;
   void takeTimer(instant Now) override;
+  void takeLag(instant Now, duration Lag) override;
   void finishTurn(instant Now) override;
   status_snapshot getStatus() const override { return Core.getStatus(); }
   const configuration &getConfiguration() const override {
--- a/programs/crocuswoodd/front_duty.cpp
+++ b/programs/crocuswoodd/front_duty.cpp
@@ -58,6 +58,9 @@
                      Front->setConfiguration(Adopted.Configuration);
                    },
                    [&](const stop_announced &) { Front->announceStop(); },
+                   [&](const entry::steer_callers &Steer) {
+                     Front->steerCallers(Steer.Away);
+                   },
                    // A job on such a connection would only be refused.
                    [&](const entry::intake_closed &) { Front->closeIdle(); }},
         Command);
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -56,7 +56,7 @@
 struct stop_announced {};
 using front_command =
     std::variant<entry::answer_caller, entry::configuration_adopted,
-                 entry::intake_closed, stop_announced>;
+                 entry::steer_callers, entry::intake_closed, stop_announced>;
 
 // Platform to decisions.
 
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -31,6 +31,7 @@
       event_kind::EndpointGone,     event_kind::EndpointSetAside,
       event_kind::EndpointRestored, event_kind::ClaimUnknown,
       event_kind::StoreDown,        event_kind::StoreUp,
+      event_kind::EntryOverloaded,  event_kind::EntryRecovered,
       event_kind::TaskUncertain};
   return Kinds;
 }
