--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -9,18 +9,6 @@
 
 // How long an answer that is due waits for the proof that nothing has run.
 constexpr duration CertaintyLimit = std::chrono::milliseconds(250);
-constexpr duration NotReadyRetry = std::chrono::seconds(1);
-// How long a job waits for an endpoint that could run it to appear.
-constexpr duration EndpointGrace = std::chrono::seconds(2);
-
-job_failure notRun(failure_code Code, std::string Reason,
-                   std::optional<duration> RetryAfter = std::nullopt) {
-  return {.Code = Code,
-          .Certainty = run_certainty::NotRun,
-          .Reason = std::move(Reason),
-          .RetryAfter = RetryAfter};
-}
-
 // Codes that tell of load, not of a fault of the request.
 bool isRefusalUnderLoad(failure_code Code) {
   return Code == failure_code::Overloaded ||
@@ -31,72 +19,10 @@
 
 job_manager::job_manager(entry_state &State, claim_manager &Claims,
                          admission &Admission)
-    : State(State), Claims(Claims), Admission(Admission) {}
+    : State(State), Claims(Claims), Admission(Admission), Check(State) {}
 
 // Submission.
 
-std::optional<job_failure>
-job_manager::findFault(const job_request &Request) const {
-  if (State.Stopping) {
-    return notRun(failure_code::Stopping, "This entry is shutting down.",
-                  NotReadyRetry);
-  }
-  if (State.Configuration.Revision == 0) {
-    return notRun(failure_code::NotReady,
-                  "This entry has no configuration yet.", NotReadyRetry);
-  }
-  const auto Class = State.Classes.find(Request.Class);
-  if (!Class) {
-    return notRun(failure_code::UnknownClass,
-                  "No class is called '" + Request.Class + "'.");
-  }
-  if (!State.Teams.find(Request.Team)) {
-    return notRun(failure_code::UnknownTeam,
-                  "No team is called '" + Request.Team + "'.");
-  }
-  if (Request.Tasks.empty() || Request.Tasks.size() > MaxTasksPerJob) {
-    return notRun(failure_code::InvalidRequest,
-                  "A job has 1 to " + std::to_string(MaxTasksPerJob) +
-                      " tasks.");
-  }
-  if (Request.Deadline && Request.Deadline->count() <= 0) {
-    return notRun(failure_code::InvalidRequest, "The deadline has passed.");
-  }
-  if (!State.Classes[*Class].Spec.Idempotent && !Request.Repeatable &&
-      Request.IdempotencyKey.empty()) {
-    return notRun(failure_code::KeyRequired,
-                  "Class '" + Request.Class + "' needs an idempotency key.");
-  }
-  return std::nullopt;
-}
-
-std::optional<job_failure>
-job_manager::findOverload(const job_request &Request) {
-  if (State.Overload.refusesJobs()) {
-    return notRun(failure_code::Overloaded,
-                  "This entry is behind with its work.", NotReadyRetry);
-  }
-  if (State.UnfinishedTasks + Request.Tasks.size() >
-      State.Options.MaxOutstandingTasks) {
-    return notRun(failure_code::Overloaded,
-                  "This entry has too many unfinished tasks.", NotReadyRetry);
-  }
-  const class_index Class = *State.Classes.find(Request.Class);
-  if (hasNoEndpoint(Class)) {
-    return notRun(failure_code::NoEndpoint,
-                  "No endpoint can run class '" + Request.Class + "'.",
-                  EndpointGrace);
-  }
-  const team_index Team = *State.Teams.find(Request.Team);
-  const duration Wait = State.Teams.expectedWait(
-      Team, static_cast<std::uint32_t>(Request.Tasks.size()));
-  if (Wait > State.Classes[Class].getTarget()) {
-    return notRun(failure_code::QuotaExceeded,
-                  "The quota of team '" + Request.Team + "' is used up.", Wait);
-  }
-  return std::nullopt;
-}
-
 bool job_manager::takeOver(const job_submitted &Event) {
   job *Earlier = Event.Job.CallerId.empty()
                      ? nullptr
@@ -146,10 +72,7 @@
                                                : Event.Job.IdempotencyKey,
        .Digest = Digest,
        .Value = static_cast<std::int64_t>(Event.Job.Tasks.size())});
-  auto Failure = findFault(Event.Job);
-  if (!Failure) {
-    Failure = findOverload(Event.Job);
-  }
+  auto Failure = Check.find(Event.Job);
   auto Kind = admission_kind::OnTime;
   if (!Failure) {
     auto Decision = Admission.decide(*State.Classes.find(Event.Job.Class));
@@ -338,20 +261,10 @@
   }
 }
 
-bool job_manager::hasNoEndpoint(class_index Class) const {
-  return State.Companions.countRunners(Class) == 0 &&
-         Class < RunnableAt.size() &&
-         State.now() - RunnableAt[Class] > EndpointGrace;
-}
-
 void job_manager::checkEndpoints() {
-  RunnableAt.resize(State.Classes.getCount(), State.now());
+  Check.noteEndpoints();
   for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
-    if (State.Companions.countRunners(Class) > 0) {
-      RunnableAt[Class] = State.now();
-      continue;
-    }
-    if (!hasNoEndpoint(Class)) {
+    if (!Check.hasNoEndpoint(Class)) {
       continue;
     }
     while (job *Job = State.Queue.getAny(Class)) {
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -5,10 +5,9 @@
 #include "admission.h"
 #include "claim_manager.h"
 #include "entry_state.h"
+#include "submission_check.h"
 
-#include <optional>
 #include <string>
-#include <vector>
 
 namespace crocuswood::entry {
 
@@ -33,10 +32,6 @@
   void progress(job &Job);
 
 private:
-  /// \returns why \p Request can't be taken, before load is looked at.
-  std::optional<job_failure> findFault(const job_request &Request) const;
-  std::optional<job_failure> findOverload(const job_request &Request);
-  bool hasNoEndpoint(class_index Class) const;
   void refuse(const job_id &Id, request_id Request, const job_request &Job,
               job_failure Failure);
   /// Lets a job that arrives again take over the one that still runs.
@@ -60,7 +55,7 @@
   entry_state &State;
   claim_manager &Claims;
   admission &Admission;
-  std::vector<instant> RunnableAt; ///< By class: when it last had a runner.
+  submission_check Check;
 };
 
 } // namespace crocuswood::entry
--- /dev/null
+++ b/packages/entry/src/submission_check.cpp
@@ -0,0 +1,104 @@
+#include "submission_check.h"
+
+#include <utility>
+
+namespace crocuswood::entry {
+
+namespace {
+
+// How long a job waits for an endpoint that could run it to appear.
+constexpr duration EndpointGrace = std::chrono::seconds(2);
+
+} // namespace
+
+job_failure notRun(failure_code Code, std::string Reason,
+                   std::optional<duration> RetryAfter) {
+  return {.Code = Code,
+          .Certainty = run_certainty::NotRun,
+          .Reason = std::move(Reason),
+          .RetryAfter = RetryAfter};
+}
+
+std::optional<job_failure> submission_check::find(const job_request &Request) {
+  auto Failure = findFault(Request);
+  return Failure ? std::move(Failure) : findOverload(Request);
+}
+
+std::optional<job_failure>
+submission_check::findFault(const job_request &Request) const {
+  if (State.Stopping) {
+    return notRun(failure_code::Stopping, "This entry is shutting down.",
+                  NotReadyRetry);
+  }
+  if (State.Configuration.Revision == 0) {
+    return notRun(failure_code::NotReady,
+                  "This entry has no configuration yet.", NotReadyRetry);
+  }
+  const auto Class = State.Classes.find(Request.Class);
+  if (!Class) {
+    return notRun(failure_code::UnknownClass,
+                  "No class is called '" + Request.Class + "'.");
+  }
+  if (!State.Teams.find(Request.Team)) {
+    return notRun(failure_code::UnknownTeam,
+                  "No team is called '" + Request.Team + "'.");
+  }
+  if (Request.Tasks.empty() || Request.Tasks.size() > MaxTasksPerJob) {
+    return notRun(failure_code::InvalidRequest,
+                  "A job has 1 to " + std::to_string(MaxTasksPerJob) +
+                      " tasks.");
+  }
+  if (Request.Deadline && Request.Deadline->count() <= 0) {
+    return notRun(failure_code::InvalidRequest, "The deadline has passed.");
+  }
+  if (!State.Classes[*Class].Spec.Idempotent && !Request.Repeatable &&
+      Request.IdempotencyKey.empty()) {
+    return notRun(failure_code::KeyRequired,
+                  "Class '" + Request.Class + "' needs an idempotency key.");
+  }
+  return std::nullopt;
+}
+
+std::optional<job_failure>
+submission_check::findOverload(const job_request &Request) {
+  if (State.Overload.refusesJobs()) {
+    return notRun(failure_code::Overloaded,
+                  "This entry is behind with its work.", NotReadyRetry);
+  }
+  if (State.UnfinishedTasks + Request.Tasks.size() >
+      State.Options.MaxOutstandingTasks) {
+    return notRun(failure_code::Overloaded,
+                  "This entry has too many unfinished tasks.", NotReadyRetry);
+  }
+  const class_index Class = *State.Classes.find(Request.Class);
+  if (hasNoEndpoint(Class)) {
+    return notRun(failure_code::NoEndpoint,
+                  "No endpoint can run class '" + Request.Class + "'.",
+                  EndpointGrace);
+  }
+  const team_index Team = *State.Teams.find(Request.Team);
+  const duration Wait = State.Teams.expectedWait(
+      Team, static_cast<std::uint32_t>(Request.Tasks.size()));
+  if (Wait > State.Classes[Class].getTarget()) {
+    return notRun(failure_code::QuotaExceeded,
+                  "The quota of team '" + Request.Team + "' is used up.", Wait);
+  }
+  return std::nullopt;
+}
+
+bool submission_check::hasNoEndpoint(class_index Class) const {
+  return State.Companions.countRunners(Class) == 0 &&
+         Class < RunnableAt.size() &&
+         State.now() - RunnableAt[Class] > EndpointGrace;
+}
+
+void submission_check::noteEndpoints() {
+  RunnableAt.resize(State.Classes.getCount(), State.now());
+  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+    if (State.Companions.countRunners(Class) > 0) {
+      RunnableAt[Class] = State.now();
+    }
+  }
+}
+
+} // namespace crocuswood::entry
