Add a soak of random faults on real processes

Series and overlaps of up to three faults a step, from a seed: links cut, silenced and delayed by a relay in front of each entry, processes paused, killed, stopped and restarted, the store down, slow or losing answers. Odd seeds run the default settings, even ones leases on demand, quiet idle links and one thread. The verdicts are those of the process tests: honest ends, answers between the faults, and the checker's over the merged time line.

Clocks that jump are not among the faults: the stand-ins can't move a process's clock. That each verdict can fail was not shown for the soak itself.

--- /dev/null
+++ b/tests/processes/soak_test.py
@@ -0,0 +1,149 @@
+"""Random faults under load, in series and at the same time, each run from a seed.
+
+    soak_test.py BUILD             the seeds of KEPT_SEEDS, as CI does
+    soak_test.py BUILD SEED...     these seeds
+    soak_test.py BUILD --fresh N   N seeds drawn now; each is printed before it runs
+
+Faults come from outside of the processes: signals, relays between companions and entries, and
+the store. Callers keep their connections. Verdicts are those of the other process tests: every
+job has one honest end, the system goes on answering between the faults, and the checker finds no
+broken promise in the merged time line.
+"""
+
+import random
+import sys
+import time
+
+import fleet as fleet_module
+from fleet import HOST, expect, expect_honest, free_port, run
+
+# The first three cover both forms of the settings. Seeds that failed once are added, each with
+# its cause.
+KEPT_SEEDS = [1, 2, 3]
+
+STEPS = 6
+MOST_AT_ONCE = 3
+ANSWERS_BETWEEN = 30
+LEASED = """intervals: {heartbeat: 100ms, idle_heartbeat: 400ms, silence: 400ms, platform_poll: 200ms}
+lease: {entry: 500ms, endpoint: 500ms}
+threads: one"""
+
+
+class Soak:
+    """One fleet and the faults of one seed."""
+
+    def __init__(self, fleet, draw):
+        self.fleet = fleet
+        self.draw = draw
+        self.undo = []
+        self.vms = 0
+        self.relays = {}
+
+    def start(self):
+        fleet = self.fleet
+        fleet.entries, fleet.companions, fleet.endpoints = [], [], []
+        for number in (1, 2):
+            links = f"{HOST}:{free_port()}"
+            self.relays[f"entry-{number}"] = (fleet.start_relay(links), links)
+            fleet.entries.append(self.start_entry(f"entry-{number}"))
+        for _ in range(3):
+            self.add_vm()
+        fleet.configure(fleet.entries[0])
+        fleet.wait_until_ready()
+
+    def start_entry(self, name, callers=None):
+        relay, links = self.relays[name]
+        return self.fleet.start_entry(name, callers=callers, links=links, advertise=relay.address)
+
+    def add_vm(self):
+        self.vms += 1
+        companion = self.fleet.start_companion(f"companion-{self.vms}",
+                                               self.relays["entry-1"][0].address)
+        self.fleet.companions.append(companion)
+        self.fleet.endpoints.append(self.fleet.start_endpoint(f"runner-{self.vms}", companion))
+
+    # Faults. Each leaves in undo what ends it.
+
+    def harm_links(self):
+        relay = self.draw.choice([pair[0] for pair in self.relays.values()])
+        mode = self.draw.choice(("silence", "cut", "delay"))
+        self.fleet.control(relay, mode, self.draw.randint(20, 150))
+        if mode == "delay":
+            self.undo.append(lambda: self.fleet.control(relay, "delay", 0))
+
+    def freeze(self):
+        process = self.draw.choice(self.fleet.entries + self.fleet.companions +
+                                   self.fleet.endpoints + [self.fleet.platform])
+        process.freeze()
+        self.undo.append(process.thaw)
+
+    def harm_store(self):
+        mode = self.draw.choice(("down", "slow", "lose_answers"))
+        self.fleet.control(self.fleet.platform, mode, self.draw.randint(100, 900))
+        self.undo.append(lambda: self.fleet.control(self.fleet.platform, "ok"))
+
+    def end_vm(self):
+        place = self.draw.randrange(len(self.fleet.companions))
+        kill = self.draw.random() < 0.5
+        self.add_vm()
+        for group in (self.fleet.endpoints, self.fleet.companions):
+            process = group.pop(place)
+            process.thaw()
+            if kill:
+                process.kill()
+            else:
+                process.stop()
+
+    def restart_entry(self):
+        place = self.draw.randrange(len(self.fleet.entries))
+        old = self.fleet.entries[place]
+        old.thaw()
+        if self.draw.random() < 0.5:
+            old.kill()
+        else:
+            old.stop()
+        self.fleet.entries[place] = self.start_entry(old.name, callers=old.callers)
+
+    def step(self, load):
+        faults = (self.harm_links, self.freeze, self.harm_store, self.end_vm, self.restart_entry)
+        chosen = [self.draw.choice(faults) for _ in range(self.draw.randint(1, MOST_AT_ONCE))]
+        # Ends wait for answers of the store and of peers, so they come before lasting faults.
+        chosen.sort(key=lambda fault: fault not in (self.end_vm, self.restart_entry))
+        print("step:", [fault.__name__ for fault in chosen], flush=True)
+        for fault in chosen:
+            fault()
+            time.sleep(self.draw.uniform(0, 0.4))
+        time.sleep(self.draw.uniform(0, 2.5))
+        for end in self.undo:
+            end()
+        self.undo.clear()
+        self.fleet.wait_for_answers(load, ANSWERS_BETWEEN)
+
+
+def soak(seed):
+    def test(fleet):
+        print("seed:", seed, flush=True)
+        draw = random.Random(seed)
+        series = Soak(fleet, draw)
+        series.start()
+        load = fleet.start_load(fleet.entries)
+        for _ in range(STEPS):
+            series.step(load)
+        tally = fleet.stop_load(load)
+        expect_honest(tally)
+        expect(tally["completed"] >= STEPS * ANSWERS_BETWEEN, f"too few answers: {tally}")
+
+    plain = fleet_module.INTERVALS
+    fleet_module.INTERVALS = LEASED if seed % 2 == 0 else plain
+    run(test)
+    fleet_module.INTERVALS = plain
+
+
+def choose_seeds(words):
+    if words[:1] == ["--fresh"]:
+        return [random.randrange(1, 1_000_000) for _ in range(int(words[1]))]
+    return [int(word) for word in words] or KEPT_SEEDS
+
+
+for chosen_seed in choose_seeds(sys.argv[2:]):
+    soak(chosen_seed)
