--- a/tests/processes/soak_test.py
+++ b/tests/processes/soak_test.py
@@ -107,14 +107,16 @@
     def step(self, load):
         faults = (self.harm_links, self.freeze, self.harm_store, self.end_vm, self.restart_entry)
         chosen = [self.draw.choice(faults) for _ in range(self.draw.randint(1, MOST_AT_ONCE))]
-        # Ends wait for answers of the store and of peers, so they come before lasting faults.
-        chosen.sort(key=lambda fault: fault not in (self.end_vm, self.restart_entry))
+        # Ends wait for answers of the store and of peers, so they come before lasting faults, and
+        # a frozen store can't be told how to fail.
+        chosen.sort(key=lambda fault: (fault not in (self.end_vm, self.restart_entry),
+                                       fault == self.freeze))
         print("step:", [fault.__name__ for fault in chosen], flush=True)
         for fault in chosen:
             fault()
             time.sleep(self.draw.uniform(0, 0.4))
         time.sleep(self.draw.uniform(0, 2.5))
-        for end in self.undo:
+        for end in reversed(self.undo):
             end()
         self.undo.clear()
         self.fleet.wait_for_answers(load, ANSWERS_BETWEEN)
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -131,6 +131,21 @@
   CHECK_TRUE(hasFaultAt(Faults, 14, 12, "intervals.silence"));
 }
 
+TEST(Settings, IdleLinksBeatAtMostAsOftenAsOthers) {
+  const auto Default = settings::parseEntry(EntryText, "entry.yaml");
+  CHECK_TRUE(std::get<settings::entry_settings>(Default)
+                 .Process.IdleHeartbeatInterval ==
+             std::chrono::milliseconds(250));
+  std::string Text = EntryText;
+  const std::size_t Place = Text.find("  silence:");
+  CHECK_TRUE(faultsOf(std::string(Text).insert(Place, "  idle_heartbeat: 1s\n"))
+                 .empty());
+  const findings Faults =
+      faultsOf(Text.insert(Place, "  idle_heartbeat: 100ms\n"));
+  CHECK_EQUAL(1U, Faults.size());
+  CHECK_TRUE(hasFaultAt(Faults, 14, 19, "intervals.idle_heartbeat"));
+}
+
 TEST(Settings, DutiesShareAThreadOnlyIfAsked) {
   const auto Default = settings::parseEntry(EntryText, "entry.yaml");
   CHECK_FALSE(std::get<settings::entry_settings>(Default).Process.SharesThread);
