Lint the adapter of the sites' platform as well

The pattern of the lint step named every folder but platform/. Its files are clean (run over platform/src).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 BUILD="${1:-build}"
-PATTERN="${2:-/(packages|programs|tests|benchmarks)/}"
+PATTERN="${2:-/(packages|platform|programs|tests|benchmarks)/}"
 run-clang-tidy -quiet -p "$BUILD" -j "${JOBS:-$(nproc)}" "$PATTERN" >"$BUILD/lint.log" 2>"$BUILD/lint.err" || {
   grep -E '(warning|error):' "$BUILD/lint.log" | sort -u
   exit 1
