Let runs go on whose start had no answer

Before any overload, at 4.6 to 5.4 s, the log has 190 runs "stopped by order" and 35 whose lease "ended unseen": a start without an answer was stopped although only its answer was lost, each lost answer held one of two connections for 120 ms, and two lost listings in a row (180 ms each) made the companion take its endpoint for silent, which sets it aside at every entry.

Ruled out: failing runs (5 of them in that second), room (no wait at the entry).

Change: a listing that shows the run confirms its start; it is stopped only if a listing or 150 ms bring no proof. A request that has waited beyond its own limit is no longer sent.

--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -145,9 +145,11 @@
                std::uint32_t MaxConnectionsPerServer, duration TimeLimit);
   ~plain_client();
   /// Sends \p Request. A kept connection that closes before any byte of the
-  /// answer counts as Lost: it is never retried here.
+  /// answer counts as Lost: it is never retried here. \p TimeLimit takes the
+  /// place of the client's own for this request.
   void send(const peer_address &Server, plain_request Request,
-            std::function<void(plain_reply)> Done);
+            std::function<void(plain_reply)> Done,
+            std::optional<duration> TimeLimit = std::nullopt);
 
 private:
   class implementation;
--- a/packages/http/src/plain_client.cpp
+++ b/packages/http/src/plain_client.cpp
@@ -3,6 +3,7 @@
 
 #include <crocuswood/http.h>
 
+#include <algorithm>
 #include <deque>
 #include <set>
 #include <tuple>
@@ -57,9 +58,11 @@
 
   implementation(asio::io_context &Context, std::uint32_t MaxConnections,
                  duration TimeLimit)
-      : Context(Context), MaxConnections(MaxConnections), TimeLimit(TimeLimit),
+      : Context(Context), MaxConnections(MaxConnections), UsualLimit(TimeLimit),
         Timer(Context) {}
 
+  duration getUsualLimit() const { return UsualLimit; }
+
   ~implementation() {
     *Alive = false;
     for (auto &[Address, Server] : Servers) {
@@ -72,7 +75,8 @@
   implementation(const implementation &) = delete;
   implementation &operator=(const implementation &) = delete;
 
-  void send(const peer_address &Address, plain_request Request, done Done) {
+  void send(const peer_address &Address, plain_request Request, done Done,
+            duration TimeLimit) {
     pending Pending{.Request = toMessage(Address, std::move(Request)),
                     .Deadline = steady_clock::now() + TimeLimit,
                     .Done = std::move(Done)};
@@ -168,6 +172,7 @@
   }
 
   void startQueued(const peer_address &Address, server &Server) {
+    refuseExpired(Server, steady_clock::now());
     while (!Server.Queue.empty()) {
       const auto Connection = takeConnection(Address, Server);
       if (!Connection) {
@@ -218,11 +223,15 @@
   }
 
   void refuseExpired(server &Server, steady_clock::time_point Now) {
-    while (!Server.Queue.empty() && Server.Queue.front().Deadline <= Now) {
-      refuseLater(std::move(Server.Queue.front()),
+    // Requests may have limits of their own, so any of them may be due.
+    const auto FirstExpired = std::stable_partition(
+        Server.Queue.begin(), Server.Queue.end(),
+        [Now](const pending &Each) { return Each.Deadline > Now; });
+    for (auto Each = FirstExpired; Each != Server.Queue.end(); ++Each) {
+      refuseLater(std::move(*Each),
                   "no connection became free within the time limit");
-      Server.Queue.pop_front();
     }
+    Server.Queue.erase(FirstExpired, Server.Queue.end());
   }
 
   static void closeUnused(server &Server, steady_clock::time_point Now) {
@@ -240,7 +249,7 @@
 
   asio::io_context &Context;
   std::uint32_t MaxConnections;
-  duration TimeLimit;
+  duration UsualLimit;
   asio::steady_timer Timer;
   bool Scheduled = false;
   std::map<peer_address, server, address_order> Servers;
@@ -257,8 +266,10 @@
 plain_client::~plain_client() = default;
 
 void plain_client::send(const peer_address &Server, plain_request Request,
-                        std::function<void(plain_reply)> Done) {
-  Impl->send(Server, std::move(Request), std::move(Done));
+                        std::function<void(plain_reply)> Done,
+                        std::optional<duration> TimeLimit) {
+  Impl->send(Server, std::move(Request), std::move(Done),
+             TimeLimit.value_or(Impl->getUsualLimit()));
 }
 
 } // namespace crocuswood::http
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -25,8 +25,12 @@
   /// How long runs go on without a renewal. Short, so that the runs of a
   /// companion that has died end soon; long enough for three renewals.
   duration Lease = std::chrono::milliseconds(320);
-  /// How long one listing waits for an end.
+  /// How long one listing waits for an end. After a lost one the next does not
+  /// wait, so that several fit into SilenceLimit.
   duration ListWait = std::chrono::milliseconds(100);
+  /// A start without an answer is stopped if no listing has shown its run for
+  /// this long. One listing takes ListWait at most.
+  duration StartProofLimit = std::chrono::milliseconds(150);
   /// Between the starts of two listings of which the first failed.
   duration ListRetry = std::chrono::milliseconds(50);
   /// An endpoint that has not been listed for longer takes no new runs.
@@ -91,14 +95,14 @@
   enum class phase : std::uint8_t {
     Ordered, ///< The start is on its way.
     Started, ///< The endpoint has confirmed the start.
-    Unclear, ///< The start has no answer; it is being stopped.
+    Unclear, ///< The start has no answer, and no listing has shown its run.
   };
   struct run {
     task_id Task;
     phase Phase = phase::Ordered;
     std::string Life;
-    instant OrderedAt;
     std::optional<instant> ConfirmedAt; ///< Of the start.
+    instant UnclearAt;                  ///< While Unclear: since when.
     std::optional<instant> StopAskedAt; ///< First stop.
     std::optional<instant> StopSentAt;  ///< Latest stop.
     std::optional<instant> StoppedAt;   ///< First confirmed stop.
@@ -107,9 +111,13 @@
   using run_map = std::map<run_id, run>;
 
   void sendStop(instant Now, const run_id &Id, run &Run);
+  /// Takes what proves that the start was carried out.
+  static void confirm(instant Now, run &Run);
+  /// Stops a run whose start has no answer, since no listing shows it.
+  void stopUnproved(instant Now, const run_id &Id, run &Run);
   void takeEnds(const run_list &List);
   void takeEnd(const listed_end &End);
-  void checkMissing(const std::set<run_id> &Active);
+  void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
   void changeLife(const std::string &Life);
   void settle();
@@ -130,6 +138,7 @@
   std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
   std::uint64_t Acknowledged = 0;
   bool Listing = false;
+  bool ListLost = false; ///< The latest listing had no answer.
   instant ListSentAt;
   instant ListedAt;  ///< Of the latest answer.
   instant RenewedAt; ///< The latest lease was sent.
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -25,7 +25,7 @@
                                 .Reason = "this run goes on already"});
     return;
   }
-  Runs.emplace(Id, run{.Task = Start.Task, .Life = Life, .OrderedAt = Now});
+  Runs.emplace(Id, run{.Task = Start.Task, .Life = Life});
   ByTask[Start.Task] = Id;
   RenewedAt = Now;
   Steps.emplace_back(send_start{.Order = {.Run = Id,
@@ -60,20 +60,31 @@
   run &Run = Place->second;
   switch (Outcome.Status) {
   case order_status::Done:
-    Run.Phase = phase::Started;
-    Run.ConfirmedAt = Now;
+    confirm(Now, Run);
     return;
   case order_status::Refused:
   case order_status::NotReached:
     endRun(Place, Outcome.Reason);
     return;
   case order_status::Unknown:
+    // Often only the answer was lost, and the next listing shows the run.
     Run.Phase = phase::Unclear;
-    sendStop(Now, Id, Run);
+    Run.UnclearAt = Now;
     return;
   }
 }
 
+void supervisor::confirm(instant Now, run &Run) {
+  Run.Phase = phase::Started;
+  Run.ConfirmedAt = Now;
+}
+
+void supervisor::stopUnproved(instant Now, const run_id &Id, run &Run) {
+  if (Run.Phase == phase::Unclear && !Run.StopAskedAt) {
+    sendStop(Now, Id, Run);
+  }
+}
+
 void supervisor::takeStopOutcome(instant Now, const run_id &Id,
                                  const order_outcome &Outcome) {
   const auto Place = Runs.find(Id);
@@ -85,6 +96,7 @@
 
 void supervisor::takeList(instant Now, const std::optional<run_list> &List) {
   Listing = false;
+  ListLost = !List;
   if (!List) {
     // advance() asks again, so that refused connections are not tried in a
     // tight loop.
@@ -97,7 +109,7 @@
   }
   takeEnds(*List);
   const std::set<run_id> Active(List->Active.begin(), List->Active.end());
-  checkMissing(Active);
+  checkMissing(Now, Active);
   checkForeign(Now, Active);
   if (Foreign.empty()) {
     settle();
@@ -142,21 +154,26 @@
   Runs.erase(Place);
 }
 
-void supervisor::checkMissing(const std::set<run_id> &Active) {
+void supervisor::checkMissing(instant Now, const std::set<run_id> &Active) {
   for (auto Place = Runs.begin(); Place != Runs.end();) {
     const auto Each = Place++;
     run &Run = Each->second;
     if (Active.contains(Each->first)) {
       Run.Seen = true;
+      if (Run.Phase != phase::Started) {
+        confirm(Now, Run);
+      }
       continue;
     }
+    stopUnproved(Now, Each->first, Run);
     // Only a listing that was asked for after the answer can prove anything.
     const bool Confirmed = Run.ConfirmedAt && *Run.ConfirmedAt <= ListSentAt;
     const bool Stopped = Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
-    // An order that arrives after the lease that it carries is refused.
+    // An order that arrives after the lease that it carries is refused. Until
+    // then stops are repeated, of which one is likely to arrive before it.
     const bool Expired =
-        Run.Phase == phase::Unclear &&
-        ListSentAt - Run.OrderedAt >= Options.Lease + Options.LeaseMargin;
+        Run.Phase == phase::Unclear && Run.StopAskedAt &&
+        ListSentAt - *Run.StopAskedAt >= Options.Lease + Options.LeaseMargin;
     if (Confirmed || Stopped || Expired) {
       endRun(Each,
              Stopped ? "stopped by order" : "the endpoint has no such run");
@@ -255,7 +272,8 @@
 void supervisor::sendList(instant Now) {
   Listing = true;
   ListSentAt = Now;
-  list_request Request{.Acknowledged = Acknowledged, .Wait = Options.ListWait};
+  list_request Request{.Acknowledged = Acknowledged,
+                       .Wait = ListLost ? duration::zero() : Options.ListWait};
   // The endpoint's clock is not known before its first listing.
   if (!Life.empty() && mayRenew(Now)) {
     Request.Lease = Options.Lease;
@@ -266,6 +284,9 @@
 
 void supervisor::advance(instant Now) {
   for (auto &[Id, Run] : Runs) {
+    if (Now - Run.UnclearAt >= Options.StartProofLimit) {
+      stopUnproved(Now, Id, Run);
+    }
     if (Run.StopSentAt && Now - *Run.StopSentAt >= Options.StopRetry) {
       sendStop(Now, Id, Run);
     }
@@ -284,6 +305,8 @@
   for (const auto &[Id, Run] : Runs) {
     if (Run.StopSentAt) {
       Next = std::min(Next, *Run.StopSentAt + Options.StopRetry);
+    } else if (Run.Phase == phase::Unclear) {
+      Next = std::min(Next, Run.UnclearAt + Options.StartProofLimit);
     }
   }
   return std::max(Next, Now + std::chrono::milliseconds(1));
