Count an overdue run as a failure of its endpoint

Their runs are stopped at their limits and run elsewhere, but only the endpoint's speed was noted.

Change: a companion says of a stopped run that it was overdue, and the entry's health takes that for a failure, so the endpoint is set aside and probed.

Test: a hung endpoint among nearly full ones, seen failing without the change.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -237,22 +237,23 @@
 }
 
 void core::implementation::on(const step &Step, run_completed &Event) {
-  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
+  Desk.endRun(Step, Event.Task, [&Event](const ended_run &Run) {
     return task_completed{.Output = std::move(Event.Output),
-                          .RunTime = RunTime};
+                          .RunTime = Run.RunTime};
   });
   reportFreeSlot(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_failed &Event) {
-  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
-    return task_failed{.Reason = std::move(Event.Reason), .RunTime = RunTime};
+  Desk.endRun(Step, Event.Task, [&Event](const ended_run &Run) {
+    return task_failed{.Reason = std::move(Event.Reason),
+                       .RunTime = Run.RunTime};
   });
   reportFreeSlot(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, const run_not_reached &Event) {
-  Desk.endRun(Step, Event.Task, [](duration /*RunTime*/) {
+  Desk.endRun(Step, Event.Task, [](const ended_run & /*Run*/) {
     return task_not_started{.Reason = not_started_reason::Unreachable};
   });
   if (Endpoint.suspend(Step, Event.Reason)) {
@@ -261,21 +262,23 @@
 }
 
 void core::implementation::on(const step &Step, run_lost &Event) {
-  Desk.endRun(Step, Event.Task, [&Event](duration /*RunTime*/) {
+  Desk.endRun(Step, Event.Task, [&Event](const ended_run & /*Run*/) {
     return task_lost{.Reason = std::move(Event.Reason)};
   });
   reportFreeSlot(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_stopped &Event) {
-  Desk.endRun(Step, Event.Task, [&Event](duration RunTime) {
-    return task_stopped{.Reason = std::move(Event.Reason), .RunTime = RunTime};
+  Desk.endRun(Step, Event.Task, [&Event](const ended_run &Run) {
+    return task_stopped{.Reason = std::move(Event.Reason),
+                        .RunTime = Run.RunTime,
+                        .Overdue = Run.Overdue};
   });
   reportFreeSlot(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_refused &Event) {
-  Desk.endRun(Step, Event.Task, [](duration /*RunTime*/) {
+  Desk.endRun(Step, Event.Task, [](const ended_run & /*Run*/) {
     return task_not_started{.Reason = not_started_reason::Refused};
   });
   reportFreeSlot(Event.Task.Job.Entry);
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -173,14 +173,15 @@
   }
 }
 
-std::optional<duration> task_desk::takeRunning(const step &Step,
-                                               const task_id &Task) {
+std::optional<ended_run> task_desk::takeRunning(const step &Step,
+                                                const task_id &Task) {
   const auto Place = Running.find(Task);
   if (Place == Running.end()) {
     return std::nullopt;
   }
   const running_task &Run = Place->second;
-  const duration RunTime = Step.Now - Run.StartedAt;
+  const ended_run Ended{.RunTime = Step.Now - Run.StartedAt,
+                        .Overdue = Run.Overdue};
   UsedMemoryBytes -= Run.Needs.MemoryBytes;
   UsedAccelerators -= Run.Needs.Accelerators;
   UsedRoom -= Run.Room;
@@ -188,7 +189,7 @@
     Overdue.erase({*Run.OverdueAt, Task});
   }
   Running.erase(Place);
-  return RunTime;
+  return Ended;
 }
 
 void task_desk::startTasks(const step &Step) {
@@ -324,7 +325,9 @@
   while (!Overdue.empty() && Overdue.begin()->first <= Step.Now) {
     const task_id Task = Overdue.begin()->second;
     Overdue.erase(Overdue.begin());
-    Running.at(Task).OverdueAt.reset();
+    running_task &Run = Running.at(Task);
+    Run.OverdueAt.reset();
+    Run.Overdue = true;
     askToStop(Step, Task);
   }
 }
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -19,6 +19,12 @@
 
 namespace crocuswood::companion {
 
+/// What the desk knows of a run at its end.
+struct ended_run {
+  duration RunTime{};
+  bool Overdue = false; ///< It was stopped since it lasted too long.
+};
+
 /// Queues placed tasks, starts them when slots are free and reports their ends.
 class task_desk {
 public:
@@ -35,12 +41,12 @@
   /// Sends the retained ends of \p Peer again.
   void resendEnds(entry_peer &Peer);
   /// Frees the slot of a running task. A task that is not running is ignored.
-  /// \p MakeEnd gets the run time.
+  /// \p MakeEnd gets the ended run.
   template <class Maker>
   void endRun(const step &Step, const task_id &Task, Maker MakeEnd) {
     const auto Run = takeRunning(Step, Task);
     if (Run) {
-      finish(Step, Task, MakeEnd(*Run), *Run);
+      finish(Step, Task, MakeEnd(*Run), Run->RunTime);
     }
   }
 
@@ -85,10 +91,11 @@
     task_needs Needs; ///< With the class's needs filled in.
     std::uint32_t Room = 0;
     std::optional<instant> OverdueAt;
+    bool Overdue = false; ///< It is stopped for that reason.
     bool StopAsked = false;
   };
 
-  std::optional<duration> takeRunning(const step &Step, const task_id &Task);
+  std::optional<ended_run> takeRunning(const step &Step, const task_id &Task);
   std::optional<not_started_reason> findRefusal(const place_task &Task) const;
   void answerDuplicate(const step &Step, entry_peer &Peer, const task_id &Task,
                        task_memory Memory);
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -48,7 +48,7 @@
   } else if (const auto *Returned = std::get_if<task_not_started>(&End.End)) {
     takeReturn(Companion, *Task, Returned->Reason);
   } else if (const auto *Stopped = std::get_if<task_stopped>(&End.End)) {
-    takeStop(Companion, *Task, Stopped->RunTime, Stopped->Reason);
+    takeStop(Companion, *Task, *Stopped);
   } else {
     takeLoss(Companion, *Task, std::get<task_lost>(End.End).Reason);
   }
@@ -158,19 +158,22 @@
 }
 
 void task_ends::takeStop(companion_index Companion, const task_ref &Task,
-                         duration RunTime, const std::string &Reason) {
+                         const task_stopped &Stopped) {
+  if (Stopped.Overdue) {
+    Health.noteFailed(Companion, Task.Job->Class, Task.get().PlacedAt);
+  }
   if (!mayRepeat(*Task.Job)) {
-    takeLoss(Companion, Task, Reason);
+    takeLoss(Companion, Task, Stopped.Reason);
     return;
   }
   Task.Job->MayHaveRun = true;
   ++Task.get().Stops;
   const work_class &Class = State.Classes[Task.Job->Class];
   // A run that was cut short tells of its companion only if it was long.
-  if (RunTime > Class.expect(std::nullopt)) {
-    noteSpeed(Companion, Class, RunTime);
+  if (Stopped.RunTime > Class.expect(std::nullopt)) {
+    noteSpeed(Companion, Class, Stopped.RunTime);
   }
-  repeat(Companion, Task, Reason);
+  repeat(Companion, Task, Stopped.Reason);
 }
 
 void task_ends::noteSpeed(companion_index Companion, const work_class &Class,
@@ -249,7 +252,7 @@
   while (!State.Companions[Companion].Outstanding.empty()) {
     const task_ref Task = State.Companions[Companion].Outstanding.back();
     if (State.Options.GrantsLeases) {
-      takeStop(Companion, Task, duration::zero(), Reason);
+      takeStop(Companion, Task, {.Reason = Reason});
     } else {
       takeLoss(Companion, Task, Reason);
     }
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -39,7 +39,7 @@
   void takeLoss(companion_index Companion, const task_ref &Task,
                 const std::string &Reason);
   void takeStop(companion_index Companion, const task_ref &Task,
-                duration RunTime, const std::string &Reason);
+                const task_stopped &Stopped);
   void noteSpeed(companion_index Companion, const work_class &Class,
                  duration RunTime);
   void takeBack(const task_ref &Task);
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -252,6 +252,7 @@
 struct task_stopped {
   std::string Reason;
   duration RunTime{};
+  bool Overdue = false; ///< It had lasted longer than its placement allowed.
 
   friend bool operator==(const task_stopped &, const task_stopped &) = default;
 };
--- a/packages/wire/src/schema.h
+++ b/packages/wire/src/schema.h
@@ -163,8 +163,8 @@
 };
 
 template <> struct schema<task_stopped> {
-  static constexpr auto Members =
-      std::make_tuple(&task_stopped::Reason, &task_stopped::RunTime);
+  static constexpr auto Members = std::make_tuple(
+      &task_stopped::Reason, &task_stopped::RunTime, &task_stopped::Overdue);
 };
 
 template <> struct schema<task_ended> {
--- a/tests/companion/lease_test.cpp
+++ b/tests/companion/lease_test.cpp
@@ -154,6 +154,10 @@
   receive({Placement});
   Driver.pass(milliseconds(150));
   CHECK_EQUAL(1U, countStops());
+  Driver.feed(run_stopped{.Task = makeTask(1), .Reason = "stopped"});
+  const auto Ends = Driver.listSent<task_ended>(Link);
+  CHECK_EQUAL(1U, Ends.size());
+  CHECK_TRUE(std::get<task_stopped>(Ends.front().End).Overdue);
 }
 
 TEST(Lease, ATaskThatNeverFitsIsGivenBack) {
--- a/tests/entry/fake_fleet.cpp
+++ b/tests/entry/fake_fleet.cpp
@@ -76,10 +76,14 @@
     ++Member.Running;
     ++Member.Started;
     Starts.push_back(Entry.Now);
-    const run Started = Run(Companion, Task.Class);
-    Endings.emplace(
-        Entry.Now + Started.RunTime,
-        ending{.Companion = Companion, .Task = Task.Task, .Run = Started});
+    ending Ending{.Companion = Companion,
+                  .Task = Task.Task,
+                  .Run = Run(Companion, Task.Class)};
+    if (Task.RunLimit && Ending.Run.RunTime > *Task.RunLimit) {
+      Ending.Run.RunTime = *Task.RunLimit;
+      Ending.Overdue = true;
+    }
+    Endings.emplace(Entry.Now + Ending.Run.RunTime, Ending);
   }
 }
 
@@ -93,6 +97,11 @@
     if (Ended.Run.Fails) {
       End = task_failed{.Reason = "broken", .RunTime = Ended.Run.RunTime};
     }
+    if (Ended.Overdue) {
+      End = task_stopped{.Reason = "stopped by order",
+                         .RunTime = Ended.Run.RunTime,
+                         .Overdue = true};
+    }
     Entry.receive(link_id{Ended.Companion + 1},
                   {task_ended{.Task = Ended.Task,
                               .End = std::move(End),
--- a/tests/entry/fake_fleet.h
+++ b/tests/entry/fake_fleet.h
@@ -50,6 +50,7 @@
     std::size_t Companion = 0;
     task_id Task;
     run Run;
+    bool Overdue = false; ///< Stopped at the limit of its placement.
   };
 
   void step();
--- a/tests/entry/repeat_test.cpp
+++ b/tests/entry/repeat_test.cpp
@@ -182,6 +182,30 @@
   CHECK_TRUE(Fleet.getStarted(0) - Before < Jobs / 20);
 }
 
+// The pattern: the others are nearly full, so that an endpoint which has hung
+// looks free each time its hung runs are stopped.
+TEST(SlowEndpoint, AHungEndpointIsSetAsideThoughOthersAreNearlyFull) {
+  bool Hangs = false;
+  fake_fleet Fleet(
+      Entry, 4, 8, [&](std::size_t Companion, const std::string &) {
+        const bool IsHung = Companion == 0 && Hangs;
+        return fake_fleet::run{.RunTime = IsHung ? duration(seconds(60))
+                                                 : duration(milliseconds(60))};
+      });
+  const auto Submit = [&](int Jobs) {
+    for (int Each = 0; Each < Jobs; ++Each) {
+      Entry.submit(makeJob());
+      Fleet.pass(milliseconds(3));
+    }
+  };
+  Submit(500);
+  Hangs = true;
+  const std::uint32_t Before = Fleet.getStarted(0);
+  Submit(1'000);
+  // What ran when it hung, and the tasks until the first of them was stopped.
+  CHECK_TRUE(Fleet.getStarted(0) - Before <= 16);
+}
+
 // The pattern: an endpoint hangs for longer than the target, and jobs that
 // were taken as on time find that they no longer are.
 TEST(SlowEndpoint, AJobThatCanStillBeOnTimeGoesBeforeOneThatIsLate) {
