--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -77,7 +77,7 @@
   duration RunTime{}; ///< Expected, of the tasks together, each by the slots or
                       ///< cores that it takes.
 
-  friend auto operator<=>(const queued_work &, const queued_work &) = default;
+  friend bool operator==(const queued_work &, const queued_work &) = default;
 };
 
 /// Load of a companion over all entries.
@@ -90,8 +90,8 @@
   std::uint32_t UsedRoom = 0;          ///< Room that running tasks take.
   std::uint32_t QueuedRoom = 0;        ///< Room that queued tasks will take.
 
-  friend auto operator<=>(const companion_load &,
-                          const companion_load &) = default;
+  friend bool operator==(const companion_load &,
+                         const companion_load &) = default;
 };
 
 /// First message of a companion on a link.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,8 +6,15 @@
 
 BUILD="${1:-build}"
 PATTERN="${2:-/(packages|platform|programs|tests|benchmarks)/}"
-run-clang-tidy -quiet -p "$BUILD" -j "${JOBS:-$(nproc)}" "$PATTERN" >"$BUILD/lint.log" 2>"$BUILD/lint.err" || {
-  grep -E '(warning|error):' "$BUILD/lint.log" | sort -u
+mapfile -t FILES < <(python3 -c '
+import json, re, sys
+files = {entry["file"] for entry in json.load(open(sys.argv[1]))}
+print("\n".join(sorted(name for name in files if re.search(sys.argv[2], name))))
+' "$BUILD/compile_commands.json" "$PATTERN")
+printf '%s\0' "${FILES[@]}" |
+  xargs -0 -n 1 -P "${JOBS:-$(nproc)}" scripts/lint_file.sh "$BUILD" >"$BUILD/lint.log" 2>"$BUILD/lint.err" || {
+  grep -E '(warning|error):' "$BUILD/lint.log" "$BUILD/lint.err" | sort -u
+  echo "Lint has failed; see $BUILD/lint.log and $BUILD/lint.err."
   exit 1
 }
-echo "Lint is clean."
+echo "Lint is clean (${#FILES[@]} files)."
