Keep late jobs that are worth their answers

Change: both rules for late jobs, free room only and the rate at which they are taken, ask the class.

--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -93,7 +93,9 @@
 duration admission::lateWait(class_index Class) {
   const double Slots = std::max(1U, windowOf(Class).Slots);
   const double Share = Slots / State.Companions.countEntries();
-  const double Rate = std::clamp(LateRate.Slots, Share * LeastLateShare, Share);
+  const bool MayWait = State.Classes[Class].givesUpLate();
+  const double Least = MayWait ? Share * LeastLateShare : Share;
+  const double Rate = std::clamp(LateRate.Slots, Least, Share);
   return fromSeconds(seconds(State.Queue.getLateWork()) / Rate);
 }
 
@@ -182,7 +184,7 @@
 
 duration admission::getLateLimit(class_index Class) const {
   const work_class &Work = State.Classes[Class];
-  if (Work.Spec.UsefulTargets > 0) {
+  if (Work.givesUpLate()) {
     const double Useful = seconds(Work.getTarget()) * Work.Spec.UsefulTargets;
     return fromSeconds(Useful) - Work.expect(std::nullopt);
   }
--- a/packages/entry/src/class_table.h
+++ b/packages/entry/src/class_table.h
@@ -29,6 +29,9 @@
   /// the task that were stopped before; each one doubles the limit, since the
   /// task itself may be long.
   std::optional<duration> getRunLimit(std::uint32_t Stops) const;
+  /// \returns whether late answers lose their worth, so that late jobs may be
+  /// given up for those on time.
+  bool givesUpLate() const { return Spec.UsefulTargets > 0; }
   /// \returns the target: the fixed part and the one that the run time adds.
   duration getTarget() const;
 };
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -138,11 +138,12 @@
   const std::function<bool(companion_index)> Filter = std::ref(MayTake);
   State.Companions.refreshSome(State.now());
   const std::uint32_t MilliCores = Task.get().Needs.MilliCores;
+  const work_class &Class = State.Classes[Job.Class];
   return Policy->choose({.Class = Job.Class,
                          .Room = MilliCores > 0 ? MilliCores : SlotRoom,
                          .Waiting = State.Queue.getCount(),
-                         .LessUrgent = State.Classes[Job.Class].LessUrgent,
-                         .Late = Job.Late,
+                         .LessUrgent = Class.LessUrgent,
+                         .MayWait = Job.Late && Class.givesUpLate(),
                          .Companions = State.Companions,
                          .MayTake = Filter});
 }
--- a/packages/entry/src/placement_policy.h
+++ b/packages/entry/src/placement_policy.h
@@ -19,7 +19,8 @@
   std::uint32_t Room = 0;       ///< That the task takes.
   std::uint32_t Waiting = 0;    ///< Tasks that wait at the entry.
   std::uint32_t LessUrgent = 0; ///< Priorities that go after the task.
-  bool Late = false;            ///< The task can't meet its target any more.
+  bool MayWait = false; ///< Its answer is late and worth little; it may give
+                        ///< way to every task that is on time.
   const companion_table &Companions;
   /// Whether a companion may be given this very task.
   const std::function<bool(companion_index)> &MayTake;
--- a/packages/entry/src/slot_policy.cpp
+++ b/packages/entry/src/slot_policy.cpp
@@ -17,7 +17,7 @@
 // does not delay them and must not keep them from being placed. Late tasks take
 // free room only: queued, they would hold up tasks that can meet their targets.
 std::int32_t queueFor(const placement_query &Query) {
-  if (Query.Waiting < LongBacklog || Query.Late) {
+  if (Query.Waiting < LongBacklog || Query.MayWait) {
     return 0;
   }
   const std::uint32_t Depth = std::min(Query.LessUrgent + 1, MaxDepth);
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -19,7 +19,7 @@
 
 void waiting_check::demote(class_index Class) {
   // Only classes that say what late answers are worth give them up.
-  if (State.Classes[Class].Spec.UsefulTargets <= 0) {
+  if (!State.Classes[Class].givesUpLate()) {
     return;
   }
   const duration Target = State.Classes[Class].getTarget();
