Say in the log what a slow turn of the decisions went on

A turn of more than 20 ms, half of the delay from which jobs are refused, writes turn_slow with its longest part.

--- a/benchmarks/entry/entry_load.cpp
+++ b/benchmarks/entry/entry_load.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Not before the core's next check.
+constexpr duration CheckInterval = std::chrono::milliseconds(100);
 constexpr duration RunTime = std::chrono::milliseconds(100);
 constexpr std::uint64_t EventsPerFlush = 16;
 constexpr std::uint64_t EndsPerMillisecond = 180;
@@ -39,6 +41,12 @@
   configuration Configuration{.Revision = 1};
   Configuration.Classes["pivot-check"] = {
       .Name = "pivot-check", .AnswerWithin = std::chrono::seconds(100)};
+  for (std::uint32_t Each = 0; Each < Shape.IdleClasses; ++Each) {
+    const std::string Name = "idle-" + std::to_string(Each);
+    Configuration.Classes[Name] = {.Name = Name,
+                                   .AnswerWithin = std::chrono::seconds(100),
+                                   .Pool = "pivot-check"};
+  }
   Configuration.Teams["valbrenta"] = {.Name = "valbrenta"};
   handle(configuration_read{.Configuration = Configuration});
   Request = {.Class = "pivot-check", .Team = "valbrenta"};
@@ -135,4 +143,13 @@
   return Nanoseconds;
 }
 
+std::uint64_t entry_load::check(std::uint64_t Count) {
+  Nanoseconds = 0;
+  for (std::uint64_t Each = 0; Each < Count; ++Each) {
+    Now += CheckInterval;
+    handle(timer_expired{});
+  }
+  return Nanoseconds;
+}
+
 } // namespace crocuswood::entry
--- a/benchmarks/entry/entry_load.h
+++ b/benchmarks/entry/entry_load.h
@@ -15,6 +15,8 @@
   std::uint32_t Companions = 10;
   std::uint32_t TasksPerJob = 1;
   std::uint32_t SlotsPerCompanion = 8;
+  /// Classes of the same pool beside that of the jobs, numbered before it.
+  std::uint32_t IdleClasses = 0;
 };
 
 /// Plays callers and companions against a core in virtual time. Every
@@ -30,6 +32,10 @@
   /// inside the core, in nanoseconds.
   std::uint64_t run(std::uint64_t Count);
 
+  /// Lets \p Count timed checks become due. \returns the time spent inside the
+  /// core, in nanoseconds.
+  std::uint64_t check(std::uint64_t Count);
+
   std::uint64_t getAnswers() const { return Answers; }
 
 private:
--- a/benchmarks/entry/main.cpp
+++ b/benchmarks/entry/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Prints what the decision core of an entry costs: time for each task started
-/// and ended, over companions and tasks of a job, and memory for each task and
+/// and ended, over companions and tasks of a job, time of a timed check over
+/// the number of classes, and memory for each task and
 /// companion.
 #include "entry_load.h"
 
@@ -16,6 +17,8 @@
 
 constexpr std::array<std::uint32_t, 3> CompanionCounts = {10, 100, 500};
 constexpr std::array<std::uint32_t, 3> TaskCounts = {1, 100, 1300};
+constexpr std::array<std::uint32_t, 4> IdleClassCounts = {0, 50, 1'450, 5'800};
+constexpr std::uint64_t MeasuredChecks = 50;
 constexpr std::uint64_t WarmUpTasks = 50'000;
 constexpr std::uint64_t MeasuredTasks = 300'000;
 constexpr std::size_t OutstandingTasks = 100'000;
@@ -34,6 +37,14 @@
             << NanosecondsPerSecond / PerTask << '\n';
 }
 
+void measureChecks(std::uint32_t IdleClasses) {
+  entry_load Load({.Companions = 76, .IdleClasses = IdleClasses});
+  Load.run(1'000);
+  const std::uint64_t Nanoseconds = Load.check(MeasuredChecks);
+  std::cout << "ns of a timed check beside " << IdleClasses
+            << " idle classes: " << Nanoseconds / MeasuredChecks << '\n';
+}
+
 void measureTaskMemory(std::uint32_t TasksPerJob) {
   entry_load Load({.Companions = 10, .TasksPerJob = TasksPerJob});
   Load.run(WarmUpTasks);
@@ -78,6 +89,9 @@
       measureTime({.Companions = Companions, .TasksPerJob = Tasks});
     }
   }
+  for (const std::uint32_t Classes : IdleClassCounts) {
+    measureChecks(Classes);
+  }
   measureTaskMemory(1);
   measureTaskMemory(MaxTasksPerJob);
   measureEndedMemory();
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -82,6 +82,8 @@
   EntryRecovered,        ///< Value (microseconds late).
   StoreDown,
   StoreUp,
+  TurnSlow, ///< Value (microseconds of one turn of the decisions), Reason (its
+            ///< longest part).
 };
 
 /// \returns the kind in snake case, such as `task_started`.
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of event_kind.
-constexpr std::array<std::string_view, 50> KindNames = {
+constexpr std::array<std::string_view, 51> KindNames = {
     "process_started",
     "process_stopping",
     "process_stopped",
@@ -58,9 +58,10 @@
     "entry_recovered",
     "store_down",
     "store_up",
+    "turn_slow",
 };
 static_assert(KindNames.size() ==
-              static_cast<std::size_t>(event_kind::StoreUp) + 1);
+              static_cast<std::size_t>(event_kind::TurnSlow) + 1);
 
 } // namespace
 
--- a/packages/timeline/include/crocuswood/timeline.h
+++ b/packages/timeline/include/crocuswood/timeline.h
@@ -5,6 +5,7 @@
 
 #include <crocuswood/model.h>
 
+#include <chrono>
 #include <cstdint>
 #include <iosfwd>
 #include <optional>
@@ -47,6 +48,27 @@
   std::uint64_t Dropped = 0;
 };
 
+/// Times the parts of one turn of the decisions. A turn delays everything else
+/// on its thread: heartbeats, callers, dials.
+class turn_watch {
+public:
+  using time_point = std::chrono::steady_clock::time_point;
+
+  explicit turn_watch(time_point Begin) : LastEnd(Begin) {}
+
+  /// Ends a part that began with the end of the one before. \p Part is a
+  /// literal that names it.
+  void note(const char *Part, time_point Now);
+  /// \returns an event if the turn took too long, with its longest part.
+  std::optional<timeline_event> report() const;
+
+private:
+  time_point LastEnd;
+  time_point::duration Total{};
+  time_point::duration Longest{};
+  const char *LongestPart = "";
+};
+
 /// \returns one JSON object without line breaks.
 std::string writeJson(const timeline_event &Event);
 checked<timeline_event> parseJson(std::string_view Line,
--- a/packages/timeline/src/job_story.cpp
+++ b/packages/timeline/src/job_story.cpp
@@ -42,6 +42,7 @@
   case event_kind::EntryRecovered:
   case event_kind::StoreDown:
   case event_kind::StoreUp:
+  case event_kind::TurnSlow:
     return true;
   default:
     return false;
--- a/programs/crocuswoodd/decision_duty.cpp
+++ b/programs/crocuswoodd/decision_duty.cpp
@@ -46,19 +46,27 @@
   Recorder.record({.Kind = event_kind::ProcessStarted});
   Duty.setDrain([this] { turn(); });
   // The first turn lets the core ask for its first wake-up.
-  Duty.post([this] {
-    takeTimer(Clock.now());
-    turn();
-  });
+  Duty.post([this] { turn(true); });
 }
 
-void decision_duty::turn() {
+void decision_duty::turn(bool TimerExpired) {
+  using steady = std::chrono::steady_clock;
+  timeline::turn_watch Watch(steady::now());
   const instant Now = Clock.now();
+  if (TimerExpired) {
+    takeTimer(Now);
+    Watch.note("timed checks", steady::now());
+  }
   const bool TakeNewWork = flush();
   bool MoreLeft = takeSharedItems(Now);
   MoreLeft = takeOwnItems(Now, TakeNewWork) || MoreLeft;
+  Watch.note("messages", steady::now());
   finishTurn(Now);
   publish(Now);
+  Watch.note("sending and status", steady::now());
+  if (auto Slow = Watch.report()) {
+    Recorder.record(std::move(*Slow));
+  }
   std::vector<timeline_event> Events = Recorder.takeEvents();
   if (!Events.empty()) {
     ToObserver.push(std::move(Events));
@@ -119,8 +127,7 @@
     if (Error) {
       return;
     }
-    takeTimer(Clock.now());
-    turn();
+    turn(true);
   });
 }
 
--- a/programs/crocuswoodd/decision_duty.h
+++ b/programs/crocuswoodd/decision_duty.h
@@ -71,7 +71,8 @@
   recorder &getRecorder() { return Recorder; }
 
 private:
-  void turn();
+  /// \p TimerExpired tells the core first that its wake-up time has come.
+  void turn(bool TimerExpired = false);
   bool takeSharedItems(instant Now);
   bool flush();
   void armWake(instant Now);
