Let the checks of an entry go through classes in use only

Cause: admission judged all classes up to the highest index in use, each against all others, every 40 ms. Classes that are added to a running entry get the last indices, so the few that are used keep low ones; after a restart they are numbered by name and lie anywhere among the idle ones. So the entry bore the configuration until it restarted. The queue, the waiting check and the probes of set-aside endpoints went through all classes as well.

Change: admission keeps windows of classes with jobs in the last minute or in the queue; the queue knows which classes it holds; rates are summed by priority once a check; probes are looked at when the first is due. The status counts class_visits. Why it works: no loop of a check depends on idle classes but one that notes a time for each.

--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -217,6 +217,9 @@
   std::uint64_t ReceivedMessages = 0;
   std::uint64_t Heartbeats =
       0; ///< Sent and received; not among the messages above.
+  /// Classes that timed checks and placements went through since the start: the
+  /// part of the work that grows with the classes in use.
+  std::uint64_t ClassVisits = 0;
   std::map<std::string, class_status> Classes;
   std::vector<companion_status> Companions; ///< Ordered by name.
 };
--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -47,10 +47,11 @@
 } // namespace
 
 admission::window &admission::windowOf(class_index Class) {
-  if (Class >= Windows.size()) {
-    Windows.resize(Class + 1);
+  const auto [Place, Added] = Windows.try_emplace(Class);
+  if (Added) {
+    Place->second.Rate.Taken = State.Queue.getTaken(Class);
   }
-  return Windows[Class];
+  return Place->second;
 }
 
 admission::counts &admission::currentPart(window &Window) {
@@ -70,7 +71,8 @@
   const double Target = seconds(State.Classes[Class].getTarget());
   const std::uint32_t Priority = State.Classes[Class].Spec.Priority;
   double Work = 0;
-  for (class_index Other = 0; Other < State.Queue.getClassCount(); ++Other) {
+  for (const class_index Other : State.Queue.getOccupied()) {
+    ++State.ClassVisits;
     const double OtherTarget = seconds(State.Classes[Other].getTarget());
     const std::uint32_t OtherPriority = State.Classes[Other].Spec.Priority;
     if (OtherPriority > Priority) {
@@ -111,17 +113,19 @@
     return;
   }
   follow(LateRate, State.Queue.getLateTaken(), Passed);
-  for (class_index Class = 0; Class < Windows.size(); ++Class) {
-    follow(Windows[Class].Rate, State.Queue.getTaken(Class), Passed);
+  SlotsByPriority.clear();
+  for (auto &[Class, Window] : Windows) {
+    ++State.ClassVisits;
+    follow(Window.Rate, State.Queue.getTaken(Class), Passed);
+    SlotsByPriority[State.Classes[Class].Spec.Priority] += Window.Rate.Slots;
   }
 }
 
 double admission::partLeft(class_index Class) {
   const std::uint32_t Priority = State.Classes[Class].Spec.Priority;
   double Urgent = 0;
-  for (class_index Other = 0; Other < Windows.size(); ++Other) {
-    const bool GoesFirst = State.Classes[Other].Spec.Priority < Priority;
-    Urgent += GoesFirst ? Windows[Other].Rate.Slots : 0;
+  for (const auto &[Other, Slots] : SlotsByPriority) {
+    Urgent += Other < Priority ? Slots : 0;
   }
   const double Slots = std::max(1U, windowOf(Class).Slots);
   const double Used = Urgent * State.Companions.countEntries() / Slots;
@@ -131,7 +135,8 @@
 bool admission::givesWay(class_index Class) {
   const std::uint32_t Priority = State.Classes[Class].Spec.Priority;
   const double Pressure = pressureOf(Class);
-  for (class_index Other = 0; Other < Windows.size(); ++Other) {
+  for (const auto &[Other, Window] : Windows) {
+    ++State.ClassVisits;
     if (State.Classes[Other].Spec.Priority > Priority &&
         pressureOf(Other) > Pressure &&
         expectedWait(Other) > longestWait(Other, CalmTolerance)) {
@@ -213,25 +218,26 @@
 
 void admission::balanceTolerances() {
   double Worst = 0;
-  for (class_index Class = 0; Class < Windows.size(); ++Class) {
-    if (Windows[Class].Sum.Submitted >= EnoughJobs) {
+  for (const auto &[Class, Window] : Windows) {
+    ++State.ClassVisits;
+    if (Window.Sum.Submitted >= EnoughJobs) {
       Worst = std::max(Worst, pressureOf(Class));
     }
   }
-  for (class_index Class = 0; Class < Windows.size(); ++Class) {
+  for (auto &[Class, Window] : Windows) {
     // Classes that do better than the worst give way, all others recover.
     const bool GivesWay = Worst > 0 && pressureOf(Class) < Worst / 2;
     const double Step = GivesWay ? -ToleranceStep : ToleranceStep;
-    Windows[Class].Tolerance =
-        std::clamp(Windows[Class].Tolerance + Step, MinTolerance, MaxTolerance);
+    Window.Tolerance =
+        std::clamp(Window.Tolerance + Step, MinTolerance, MaxTolerance);
   }
 }
 
 void admission::judgeOverload() {
-  bool IsLong = false;
-  for (class_index Class = 0; Class < Windows.size(); ++Class) {
-    IsLong = IsLong || expectedWait(Class) > longestWait(Class, MaxTolerance);
-  }
+  const bool IsLong = std::ranges::any_of(Windows, [this](const auto &Item) {
+    ++State.ClassVisits;
+    return expectedWait(Item.first) > longestWait(Item.first, MaxTolerance);
+  });
   const double Passed = seconds(State.now() - JudgedAt);
   JudgedAt = State.now();
   measureRates(Passed);
@@ -247,23 +253,31 @@
       QueuedWork[Each.Priority] += Each.RunTime;
     }
   }
-  for (class_index Class = 0; Class < Windows.size(); ++Class) {
-    Windows[Class].Slots = State.Companions.countSlots(Class);
+  for (auto &[Class, Window] : Windows) {
+    ++State.ClassVisits;
+    Window.Slots = State.Companions.countSlots(Class);
   }
   judgeOverload();
   balanceTolerances();
-  if (State.now() < PartEnds) {
-    return;
+  if (State.now() >= PartEnds) {
+    endPart();
   }
+}
+
+void admission::endPart() {
   PartEnds = State.now() + PartLength;
   Part = (Part + 1) % WindowParts;
-  for (window &Window : Windows) {
+  for (auto &[Class, Window] : Windows) {
     counts &Oldest = currentPart(Window);
     Window.Sum.Submitted -= Oldest.Submitted;
     Window.Sum.Refused -= Oldest.Refused;
     Window.Sum.Missed -= Oldest.Missed;
     Oldest = counts();
   }
+  std::erase_if(Windows, [this](const auto &Item) {
+    return Item.second.Sum.Submitted == 0 &&
+           State.Queue.getCount(Item.first) == 0;
+  });
 }
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/admission.h
+++ b/packages/entry/src/admission.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <optional>
 #include <variant>
-#include <vector>
 
 namespace crocuswood::entry {
 
@@ -61,6 +60,8 @@
   };
 
   window &windowOf(class_index Class);
+  /// Drops the oldest part of each window, and windows that are empty then.
+  void endPart();
   counts &currentPart(window &Window);
   duration expectedWait(class_index Class);
   duration lateWait(class_index Class);
@@ -81,7 +82,10 @@
   void judgeOverload();
 
   entry_state &State;
-  std::vector<window> Windows;
+  /// Of the classes in use: those with jobs in the window or the queue.
+  std::map<class_index, window> Windows;
+  /// Slots or cores that the tasks of each priority have got lately.
+  std::map<std::uint32_t, double> SlotsByPriority;
   std::size_t Part = 0;
   instant PartEnds;
   /// Queued on all companions together, by priority.
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -148,7 +148,8 @@
                 .WastedMessages = State.Messages.Wasted,
                 .SentMessages = State.Messages.Sent,
                 .ReceivedMessages = State.Messages.Received,
-                .Heartbeats = State.Messages.Heartbeats};
+                .Heartbeats = State.Messages.Heartbeats,
+                .ClassVisits = State.ClassVisits};
   bool Serving = false;
   for (const auto &[Name, Index] : State.Companions.getNames()) {
     const companion_record &Record = State.Companions[Index];
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -69,7 +69,8 @@
 
 std::optional<dispatcher::choice> dispatcher::chooseOnTime() const {
   std::optional<choice> Best;
-  for (class_index Class = 0; Class < State.Queue.getClassCount(); ++Class) {
+  for (const class_index Class : State.Queue.getOccupied()) {
+    ++State.ClassVisits;
     if (Blocked[Class]) {
       continue;
     }
@@ -90,7 +91,8 @@
 
 std::optional<dispatcher::choice> dispatcher::chooseLate() const {
   std::optional<choice> Best;
-  for (class_index Class = 0; Class < State.Queue.getClassCount(); ++Class) {
+  for (const class_index Class : State.Queue.getOccupied()) {
+    ++State.ClassVisits;
     job *Job = Blocked[Class] ? nullptr : State.Queue.getLateFront(Class);
     if (Job == nullptr) {
       continue;
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -42,6 +42,9 @@
   std::vector<peer_address> Entries;
   message_counts Messages;
   overload_guard Overload;
+  /// Classes that loops over classes went through. It grows with the classes
+  /// in use, not with those that are configured.
+  std::uint64_t ClassVisits = 0;
   std::uint32_t UnfinishedTasks = 0; ///< Of all jobs: waiting or placed.
   bool Draining = false; ///< A stop was requested; jobs are still taken.
   bool Stopping = false; ///< No job is taken any more.
--- a/packages/entry/src/health.cpp
+++ b/packages/entry/src/health.cpp
@@ -193,7 +193,7 @@
     return false;
   }
   Standing.ProbeDelay = std::min(Standing.ProbeDelay * 2, MaxProbeDelay);
-  setAsideClass(Standing);
+  setAsideClass(memberAt(Companion), Standing);
   applyLimits(Companion);
   return true;
 }
@@ -282,13 +282,15 @@
   applyLimits(Suspect.Companion);
 }
 
-void health::setAsideClass(standing &Standing) {
+void health::setAsideClass(member &Member, standing &Standing) {
   Standing.Trust = trust::SetAside;
   Standing.ProbesCompleted = 0;
   if (Standing.ProbeDelay.count() == 0) {
     Standing.ProbeDelay = FirstProbeDelay;
   }
   Standing.NextProbe = State.now() + Standing.ProbeDelay;
+  Member.NextProbe = std::min(Member.NextProbe.value_or(Standing.NextProbe),
+                              Standing.NextProbe);
 }
 
 void health::setAside(const suspect &Suspect) {
@@ -296,7 +298,7 @@
   const instant Since =
       standingAt(Suspect.Companion, Suspect.Class).FailingSince;
   std::erase(Suspects, Suspect);
-  setAsideClass(standingAt(Suspect.Companion, Suspect.Class));
+  setAsideClass(Member, standingAt(Suspect.Companion, Suspect.Class));
   const bool CompletesOthers = Member.CompletedPlacement >= Since;
   const std::string Name =
       CompletesOthers ? State.Classes[Suspect.Class].Spec.Name : "";
@@ -304,7 +306,7 @@
     Member.AllSetAside = true;
     forgetSuspects(Suspect.Companion);
     for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
-      setAsideClass(standingAt(Suspect.Companion, Class));
+      setAsideClass(Member, standingAt(Suspect.Companion, Class));
     }
   }
   State.Sink.record({.Kind = event_kind::EndpointSetAside,
@@ -330,18 +332,30 @@
   applyLimits(Companion);
 }
 
+bool health::releaseProbes(member &Member) {
+  Member.NextProbe.reset();
+  bool Changed = false;
+  for (standing &Standing : Member.Classes) {
+    ++State.ClassVisits;
+    if (Standing.Trust != trust::SetAside) {
+      continue;
+    }
+    if (State.now() >= Standing.NextProbe) {
+      Standing.Trust = trust::Probing;
+      Changed = true;
+      continue;
+    }
+    Member.NextProbe = std::min(Member.NextProbe.value_or(Standing.NextProbe),
+                                Standing.NextProbe);
+  }
+  return Changed;
+}
+
 void health::checkTimes() {
   for (const auto &[Name, Index] : State.Companions.getNames()) {
     member &Member = memberAt(Index);
-    bool Changed = false;
-    for (standing &Standing : Member.Classes) {
-      if (Standing.Trust == trust::SetAside &&
-          State.now() >= Standing.NextProbe) {
-        Standing.Trust = trust::Probing;
-        Changed = true;
-      }
-    }
-    if (Changed) {
+    if (Member.NextProbe && State.now() >= *Member.NextProbe &&
+        releaseProbes(Member)) {
       applyLimits(Index);
     }
   }
--- a/packages/entry/src/health.h
+++ b/packages/entry/src/health.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace crocuswood::entry {
@@ -61,6 +62,7 @@
     std::uint32_t Trusted = 0;  ///< Tasks at once; 0 for any number.
     instant CompletedPlacement; ///< Latest placement of a completed task.
     bool AllSetAside = false;
+    std::optional<instant> NextProbe; ///< The earliest of all classes, or less.
   };
   struct outcome {
     companion_index Companion = NoCompanion;
@@ -98,7 +100,9 @@
   void judge(const suspect &Suspect);
   void judgeSuspects(class_index Class);
   void setAside(const suspect &Suspect);
-  void setAsideClass(standing &Standing);
+  void setAsideClass(member &Member, standing &Standing);
+  /// \returns whether a class of \p Member may be probed from now on.
+  bool releaseProbes(member &Member);
   void restore(companion_index Companion, class_index Class);
   void forgive(const suspect &Suspect);
   void forgetSuspects(companion_index Companion);
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -1,6 +1,7 @@
 #include "job_manager.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace crocuswood::entry {
@@ -263,7 +264,10 @@
 
 void job_manager::checkEndpoints() {
   Check.noteEndpoints();
-  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+  // Jobs that end here leave the queue.
+  const std::set<class_index> Occupied = State.Queue.getOccupied();
+  for (const class_index Class : Occupied) {
+    ++State.ClassVisits;
     if (!Check.hasNoEndpoint(Class)) {
       continue;
     }
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -1,5 +1,7 @@
 #include "waiting_check.h"
 
+#include <set>
+
 namespace crocuswood::entry {
 
 namespace {
@@ -10,7 +12,10 @@
 } // namespace
 
 void waiting_check::checkTimes() {
-  for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
+  // Jobs that end here leave the queue.
+  const std::set<class_index> Occupied = State.Queue.getOccupied();
+  for (const class_index Class : Occupied) {
+    ++State.ClassVisits;
     demote(Class);
     checkLate(Class);
   }
--- a/packages/entry/src/waiting_queue.cpp
+++ b/packages/entry/src/waiting_queue.cpp
@@ -28,12 +28,16 @@
 void waiting_queue::insert(job &Job) {
   lane &Lane = laneOf(Job);
   (Job.Late ? Lane.Late : Lane.OnTime).insert(keyOf(Job));
+  Occupied.insert(Job.Class);
   Job.Queued = true;
 }
 
 void waiting_queue::erase(job &Job) {
   lane &Lane = laneOf(Job);
   (Job.Late ? Lane.Late : Lane.OnTime).erase(keyOf(Job));
+  if (Lane.OnTime.empty() && Lane.Late.empty()) {
+    Occupied.erase(Job.Class);
+  }
   Job.Queued = false;
 }
 
--- a/packages/entry/src/waiting_queue.h
+++ b/packages/entry/src/waiting_queue.h
@@ -63,9 +63,8 @@
   /// far, without late ones.
   duration getTaken(class_index Class) const;
   duration getLateTaken() const { return LateTaken; }
-  class_index getClassCount() const {
-    return static_cast<class_index>(Lanes.size());
-  }
+  /// \returns the classes of the jobs in the queue.
+  const std::set<class_index> &getOccupied() const { return Occupied; }
 
 private:
   struct key {
@@ -94,6 +93,7 @@
   void account(const job &Job, std::int32_t Sign);
 
   std::vector<lane> Lanes;
+  std::set<class_index> Occupied;
   std::uint32_t Count = 0;
   duration LateWork{};
   duration LateTaken{};
--- a/programs/crocuswoodd/status_json.cpp
+++ b/programs/crocuswoodd/status_json.cpp
@@ -59,6 +59,7 @@
                      {"received", Status.ReceivedMessages},
                      {"wasted", Status.WastedMessages},
                      {"heartbeats", Status.Heartbeats}}},
+                   {"class_visits", Status.ClassVisits},
                    {"classes", json::object()},
                    {"companions", json::array()}};
   for (const auto &[Name, Class] : Status.Classes) {
