Size every table of event kinds by one count

Cause: two tables by kind, the quotas of the log and the texts of the time line, took their size from the kind that was the last one before turn_slow, so its quota lay behind the array. Each place named the last kind for itself.

Change: EventKindCount stands beside the kinds, and all three tables use it. The tables of names and texts are checked to be full.

Test Explain.EveryKindHasANameAndAText: before, out_of_range from the table of texts (place 50 of 50).

--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -86,6 +86,10 @@
             ///< longest part).
 };
 
+/// Tables by kind have this many places.
+constexpr std::size_t EventKindCount =
+    static_cast<std::size_t>(event_kind::TurnSlow) + 1;
+
 /// \returns the kind in snake case, such as `task_started`.
 std::string_view toString(event_kind Kind);
 /// \returns nothing if \p Text names no kind.
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // In the order of event_kind.
-constexpr std::array<std::string_view, 51> KindNames = {
+constexpr std::array<std::string_view, EventKindCount> KindNames = {
     "process_started",
     "process_stopping",
     "process_stopped",
@@ -60,8 +60,7 @@
     "store_up",
     "turn_slow",
 };
-static_assert(KindNames.size() ==
-              static_cast<std::size_t>(event_kind::TurnSlow) + 1);
+static_assert(!KindNames.back().empty());
 
 } // namespace
 
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -14,7 +14,7 @@
 // In the order of event_kind. `%peer`, `%key`, `%value`, `%span` and `%code`
 // are replaced by the event's fields; `%value` is a plain number, `%span` a
 // number of microseconds.
-constexpr std::array<std::string_view, 50> Happenings = {
+constexpr std::array<std::string_view, EventKindCount> Happenings = {
     "process started",
     "process is stopping",
     "process stopped",
@@ -65,9 +65,9 @@
     "the entry keeps up again",
     "table service is down",
     "table service is up",
+    "a turn of the decisions took %span",
 };
-static_assert(Happenings.size() ==
-              static_cast<std::size_t>(event_kind::StoreUp) + 1);
+static_assert(!Happenings.back().empty());
 
 std::string findValue(const timeline_event &Event, std::string_view Name) {
   if (Name == "peer") {
--- a/programs/crocuswoodd/event_log.h
+++ b/programs/crocuswoodd/event_log.h
@@ -24,8 +24,6 @@
 private:
   /// Lines of one kind within a second.
   static constexpr std::uint32_t LinesPerSecond = 200;
-  static constexpr std::size_t Kinds =
-      static_cast<std::size_t>(event_kind::StoreUp) + 1;
 
   struct quota {
     std::int64_t Second = 0;
@@ -37,7 +35,7 @@
   void noteLeftOut(const timeline_event &Event, quota &Quota);
 
   bool Enabled;
-  std::array<quota, Kinds> Quotas{};
+  std::array<quota, EventKindCount> Quotas{};
   std::string Lines;
   std::uint64_t LostLines = 0; ///< Not taken by the reader.
 };
--- a/tests/timeline/explain_test.cpp
+++ b/tests/timeline/explain_test.cpp
@@ -144,3 +144,12 @@
   CHECK_TRUE(contains(Text, R"("tid":1,"ts":1700000000000600)"));
   CHECK_TRUE(contains(Text, R"({"end":"not known"})"));
 }
+
+// Guards against a kind of event that a table by kind has no place for.
+TEST(Explain, EveryKindHasANameAndAText) {
+  for (std::size_t Number = 0; Number < EventKindCount; ++Number) {
+    const auto Kind = static_cast<event_kind>(Number);
+    CHECK_TRUE(parseEventKind(toString(Kind)) == Kind);
+    CHECK_FALSE(timeline::describe(add("entry-1", Kind)).ends_with("  "));
+  }
+}
