Send a new configuration to peers that lack it, not on every link

Cause: the first entry that reads a new revision sent the document to each of 76 companions, and each of these sent it at once to the 13 other entries, which were about to read it by themselves; an entry that starts got it from all its companions. At 1,400 routes an entry had to read 76 documents of some hundred kilobytes. During that time nothing else passes, links fall silent and are opened anew.

Change: a peer that is behind gets the document after a random time of up to a second, unless it tells meanwhile that it has caught up; who takes a revision tells all its links at once. Why it works: the first copy arrives after a few milliseconds, and all others are left out when it has. Placements carry the needs of their class, so companions run tasks before they have the document.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -86,6 +86,7 @@
   Peer.Address = Link.Address;
   Peer.Gone = false;
   Peer.PushedRevision = 0;
+  Peer.PushAt.reset();
   Peer.LeavingSeen = false;
   Peer.ResendEnds = true;
   Step.record(makeEvent(event_kind::LinkOpened, Peer.Id.Name));
@@ -190,19 +191,28 @@
   Configuration = std::move(Value);
   Event.Kind = event_kind::ConfigurationInForce;
   Step.record(std::move(Event));
+  // Entries that hear of it do not send it.
+  broadcast(makeHeartbeat());
 }
 
 void core::implementation::noteRevision(entry_peer &Peer,
                                         std::uint64_t Revision) {
   Peer.Revision = std::max(Peer.Revision, Revision);
-  pushConfiguration(Peer);
 }
 
-void core::implementation::pushConfiguration(entry_peer &Peer) {
+void core::implementation::checkRevision(const step &Step, entry_peer &Peer) {
   if (!Peer.Link || Peer.Revision >= Configuration.Revision ||
       Peer.PushedRevision >= Configuration.Revision) {
+    Peer.PushAt.reset();
     return;
   }
+  if (!Peer.PushAt) {
+    Peer.PushAt = Step.Now + Generator.below(ConfigurationPushSpread);
+  }
+  if (Step.Now < *Peer.PushAt) {
+    return;
+  }
+  Peer.PushAt.reset();
   Peer.PushedRevision = Configuration.Revision;
   Links.find(*Peer.Link)
       ->Unsent.emplace_back(configuration_push{.Configuration = Configuration});
@@ -432,6 +442,9 @@
     LastRunEnd = Step.Now;
   }
   Links.dialDue(Step);
+  for (auto &[Id, Peer] : Entries.getPeers()) {
+    checkRevision(Step, Peer);
+  }
   noteActivity(Step);
   const auto Next = findNextWake(Step.Now);
   if (Next && (!Wake || *Next < *Wake)) {
@@ -453,6 +466,7 @@
     if (!Peer.Gone && !Peer.Link) {
       Consider(Peer.LinklessSince + Options.EntryLossLimit);
     }
+    Consider(Peer.PushAt);
     if (Options.EntryLease > duration::zero()) {
       Consider(Desk.getLeaseWake(Peer, Now));
     }
@@ -468,7 +482,6 @@
     if (Peer.Link && Peer.ResendEnds) {
       Desk.resendEnds(Peer);
     }
-    pushConfiguration(Peer);
   }
   const companion_load Load = Desk.refreshLoad();
   for (auto &[Id, Link] : Links.getLinks()) {
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -5,6 +5,7 @@
 #include "endpoint_monitor.h"
 #include "entry_links.h"
 #include "entry_registry.h"
+#include "spread_generator.h"
 #include "step.h"
 #include "task_desk.h"
 
@@ -22,7 +23,8 @@
   explicit implementation(options Options)
       : Options(std::move(Options)), Links(this->Options),
         Endpoint(this->Options.AnnouncementLimit),
-        Desk(this->Options, Configuration, Entries, Links, Endpoint) {}
+        Desk(this->Options, Configuration, Entries, Links, Endpoint),
+        Generator(this->Options.Seed) {}
 
   void on(const step &Step, const link_opened &Event);
   void on(const step &Step, envelope_received &Event);
@@ -57,8 +59,9 @@
   void replaceNamesake(const step &Step, const process_id &Id);
   void dropEntry(const step &Step, entry_peer &Peer);
   void adopt(const step &Step, configuration Value);
-  void noteRevision(entry_peer &Peer, std::uint64_t Revision);
-  void pushConfiguration(entry_peer &Peer);
+  static void noteRevision(entry_peer &Peer, std::uint64_t Revision);
+  /// Updates an entry whose revision has been smaller for a while.
+  void checkRevision(const step &Step, entry_peer &Peer);
   void broadcast(const peer_message &Message);
   void reportEndpoint(const step &Step, not_started_reason Reason);
   void reportFreeSlot(incarnation Ended);
@@ -81,6 +84,7 @@
   entry_registry Entries;
   endpoint_monitor Endpoint;
   task_desk Desk;
+  spread_generator Generator;
   std::optional<instant> Wake;
   incarnation LastReported{};
   bool EndpointSettled = false;
--- a/packages/companion/src/entry_registry.h
+++ b/packages/companion/src/entry_registry.h
@@ -23,6 +23,7 @@
   bool Gone = false;          ///< Without a link for too long, or replaced.
   std::uint64_t Revision = 0; ///< Of its configuration, last heard.
   std::uint64_t PushedRevision = 0; ///< Sent to it on the present link.
+  std::optional<instant> PushAt;    ///< When a greater revision is sent to it.
   std::uint32_t Backlog = 0;        ///< Its waiting tasks, last heard.
   bool Stopping = false;            ///< It shuts down and places nothing new.
   bool LeavingSeen = false;         ///< Said on the present link.
--- a/packages/companion/src/spread_generator.h
+++ b/packages/companion/src/spread_generator.h
@@ -27,6 +27,11 @@
     return Mean / 2 + duration(next() % (Whole + 1));
   }
 
+  /// \returns a span shorter than \p Bound.
+  duration below(duration Bound) {
+    return duration(next() % static_cast<std::uint64_t>(Bound.count()));
+  }
+
 private:
   std::uint64_t State;
 };
--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -28,7 +28,8 @@
   endpoint_report Endpoint;
   companion_load Load; ///< As last heard.
   std::uint64_t ConfigurationRevision = 0;
-  std::uint32_t Entries = 0; ///< Live entries, as last heard.
+  std::optional<instant> PushAt; ///< When a greater revision is sent to it.
+  std::uint32_t Entries = 0;     ///< Live entries, as last heard.
 
   std::optional<link_id> Link;
   instant LinkLostAt; ///< While there is no link.
--- a/packages/entry/src/configuration_keeper.cpp
+++ b/packages/entry/src/configuration_keeper.cpp
@@ -6,14 +6,14 @@
 
 namespace crocuswood::entry {
 
-void configuration_keeper::offer(const configuration &Offered) {
+bool configuration_keeper::offer(const configuration &Offered) {
   const auto Revision = static_cast<std::int64_t>(Offered.Revision);
   if (Offered.Revision <= State.Configuration.Revision) {
     if (Offered.Revision < State.Configuration.Revision) {
       State.Sink.record(
           {.Kind = event_kind::ConfigurationIgnored, .Value = Revision});
     }
-    return;
+    return false;
   }
   State.Configuration = Offered;
   State.Classes.update(Offered);
@@ -22,9 +22,7 @@
   State.Sink.record(
       {.Kind = event_kind::ConfigurationInForce, .Value = Revision});
   State.Sink.push(configuration_adopted{.Configuration = Offered});
-  for (const auto &[Name, Index] : State.Companions.getNames()) {
-    push(Index);
-  }
+  return true;
 }
 
 void configuration_keeper::noteRevision(companion_index Companion,
@@ -32,16 +30,24 @@
   companion_record &Record = State.Companions[Companion];
   Record.ConfigurationRevision =
       std::max(Record.ConfigurationRevision, Revision);
-  push(Companion);
 }
 
-void configuration_keeper::push(companion_index Companion) {
+void configuration_keeper::checkRevision(companion_index Companion) {
   companion_record &Record = State.Companions[Companion];
   if (!Record.Link ||
       Record.ConfigurationRevision >= State.Configuration.Revision) {
+    Record.PushAt.reset();
+    return;
+  }
+  if (!Record.PushAt) {
+    Record.PushAt = State.now() +
+                    duration(Generator.below(ConfigurationPushSpread.count()));
+  }
+  if (State.now() < *Record.PushAt) {
     return;
   }
   // A lost push is made good on the next hello.
+  Record.PushAt.reset();
   Record.ConfigurationRevision = State.Configuration.Revision;
   State.Companions.openOutbox(Companion).add(
       configuration_push{.Configuration = State.Configuration});
--- a/packages/entry/src/configuration_keeper.h
+++ b/packages/entry/src/configuration_keeper.h
@@ -12,22 +12,24 @@
 /// to date.
 class configuration_keeper {
 public:
-  explicit configuration_keeper(entry_state &State) : State(State) {}
+  explicit configuration_keeper(entry_state &State)
+      : State(State), Generator(State.Options.Seed) {}
 
-  /// Takes a configuration from the table service or from a peer.
-  void offer(const configuration &Offered);
-  /// Notes the revision that a companion has told, and updates the companion
-  /// if its revision is smaller.
+  /// Takes a configuration from the table service or from a peer. \returns
+  /// whether it is in force now, which companions should be told at once.
+  bool offer(const configuration &Offered);
+  /// Notes the revision that a companion has told.
   void noteRevision(companion_index Companion, std::uint64_t Revision);
+  /// Updates \p Companion if its revision has been smaller for a while.
+  void checkRevision(companion_index Companion);
   /// Takes the list of entries, and tells companions if it has changed.
   void takeEntries(std::vector<peer_address> Entries);
   /// \returns a number that changes when the list of entries changes.
   std::uint64_t getEntriesDigest() const { return EntriesDigest; }
 
 private:
-  void push(companion_index Companion);
-
   entry_state &State;
+  generator Generator;
   std::uint64_t EntriesDigest = 0;
 };
 
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -54,7 +54,9 @@
           },
           [&](const link_closed &Each) { Links.close(Each.Link, Each.Reason); },
           [&](const configuration_read &Each) {
-            Configurations.offer(Each.Configuration);
+            if (Configurations.offer(Each.Configuration)) {
+              Links.announce();
+            }
           },
           [&](entries_read &Each) {
             Configurations.takeEntries(std::move(Each.Entries));
@@ -115,7 +117,7 @@
   IntakeEnds.reset();
   State.Stopping = true;
   State.Sink.push(intake_closed{});
-  Links.announceStop();
+  Links.announce();
 }
 
 void core::implementation::checkStop() {
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -96,12 +96,12 @@
   Record.Unseen.clear();
   Record.OthersAt = State.now();
   Record.ConfigurationRevision = Hello.ConfigurationRevision;
+  Record.PushAt.reset();
   Record.HeardAt = State.now();
   State.Companions.attachLink(Companion, Link, State.now());
   State.Sink.recordPeer(event_kind::LinkOpened, Record.Id.Name);
   greet(Companion);
   resume(Companion);
-  Configurations.noteRevision(Companion, Hello.ConfigurationRevision);
 }
 
 companion_index link_manager::enrol(link_id Link,
@@ -222,7 +222,9 @@
             companion_record &Record = State.Companions[Companion];
             Record.ConfigurationRevision = std::max(
                 Record.ConfigurationRevision, Push.Configuration.Revision);
-            Configurations.offer(Push.Configuration);
+            if (Configurations.offer(Push.Configuration)) {
+              announce();
+            }
           },
           [&](auto &) {
             dropLink(Companion, "The companion sent an unexpected message.");
@@ -297,6 +299,7 @@
     }
     return;
   }
+  Configurations.checkRevision(Companion);
   // The companion waits for the acknowledgements of its ends, too.
   Record.Activity.note(!Record.Outstanding.empty() ||
                            Record.Outbox.hasAcknowledgements(),
@@ -322,7 +325,7 @@
       .LeavingSeen = Endpoint.State != endpoint_state::Serving});
 }
 
-void link_manager::announceStop() {
+void link_manager::announce() {
   for (const auto &[Name, Index] : State.Companions.getNames()) {
     if (State.Companions[Index].Link) {
       sendHeartbeat(Index);
--- a/packages/entry/src/link_manager.h
+++ b/packages/entry/src/link_manager.h
@@ -25,8 +25,9 @@
   void close(link_id Link, const std::string &Reason);
   /// Sends heartbeats, closes silent links and gives up lost companions.
   void checkTimes();
-  /// Tells every companion that this entry is stopping.
-  void announceStop();
+  /// Tells every companion at once that this entry is stopping, or which
+  /// configuration it has now.
+  void announce();
   /// Writes what was gathered for the companions.
   void flush();
 
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -169,6 +169,13 @@
   friend bool operator==(const entry_list &, const entry_list &) = default;
 };
 
+/// A peer with a smaller revision is brought up to date after a random time up
+/// to this, unless it tells meanwhile that it has caught up. Each entry is
+/// linked to each companion, so without that time a new revision would be sent
+/// on every link, and a peer that starts would receive it once from each of
+/// them.
+constexpr duration ConfigurationPushSpread = std::chrono::seconds(1);
+
 /// Brings a peer with a smaller revision up to date.
 struct configuration_push {
   configuration Configuration;
--- a/tests/companion/endpoint_test.cpp
+++ b/tests/companion/endpoint_test.cpp
@@ -73,6 +73,7 @@
 TEST(CompanionConfiguration, EntryWithASmallerRevisionIsBroughtUpToDateOnce) {
   const link_id Link = Driver.linkA();
   Driver.feed(configuration_read{{.Revision = 5}});
+  Driver.pass(ConfigurationPushSpread);
   CHECK_EQUAL(1U, Driver.listSent<configuration_push>(Link).size());
   Driver.receive(Link, entry_heartbeat{.ConfigurationRevision = 4});
   CHECK_EQUAL(1U, Driver.listSent<configuration_push>(Link).size());
@@ -80,6 +81,21 @@
   CHECK_EQUAL(1U, Driver.listSent<configuration_push>(Link).size());
 }
 
+// Guards against an entry that starts, or follows a change, and receives the
+// configuration from each of its companions although it reads it by itself.
+TEST(CompanionConfiguration, EntryThatCatchesUpByItselfIsSentNothing) {
+  const link_id Link = Driver.linkA();
+  Driver.feed(configuration_read{{.Revision = 5}});
+  // The entry hears of the revision at once, so that it does not send it.
+  const auto Told = Driver.listSent<companion_heartbeat>(Link);
+  CHECK_FALSE(Told.empty());
+  CHECK_EQUAL(5U, Told.back().ConfigurationRevision);
+  CHECK_TRUE(Driver.listSent<configuration_push>(Link).empty());
+  Driver.receive(Link, entry_heartbeat{.ConfigurationRevision = 5});
+  Driver.pass(ConfigurationPushSpread);
+  CHECK_TRUE(Driver.listSent<configuration_push>(Link).empty());
+}
+
 TEST_GROUP(CompanionStop) { driver Driver; };
 
 TEST(CompanionStop, WaitsForRunningTasksAndForTheirAcknowledgements) {
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -26,11 +26,27 @@
   CHECK_EQUAL(1U, Entry.sent<entry_hello>(A).size());
   CHECK_TRUE(Entry.sent<configuration_push>(A).empty());
   Entry.handle(configuration_read{entry_harness::defaultConfiguration(5)});
-  CHECK_EQUAL(1U, Entry.sent<configuration_push>(A).size());
   Entry.connect(B, "runner-b");
+  Entry.pass(ConfigurationPushSpread);
+  CHECK_EQUAL(1U, Entry.sent<configuration_push>(A).size());
+  CHECK_EQUAL(1U, Entry.sent<configuration_push>(B).size());
   CHECK_EQUAL(5U, Entry.sent<configuration_push>(B)[0].Configuration.Revision);
 }
 
+// Guards against links that fall silent, and stay so after a restart of
+// everything, because every entry sends a large configuration on every link.
+TEST(Links, ConfigurationIsNotSentToCompanionsThatHaveCaughtUpMeanwhile) {
+  Entry.handle(configuration_read{entry_harness::defaultConfiguration(5)});
+  // The companion hears of the revision at once, so that it does not send it.
+  const auto Told = Entry.sent<entry_heartbeat>(A);
+  CHECK_FALSE(Told.empty());
+  CHECK_EQUAL(5U, Told.back().ConfigurationRevision);
+  CHECK_TRUE(Entry.sent<configuration_push>(A).empty());
+  Entry.receive(A, {companion_heartbeat{.ConfigurationRevision = 5}});
+  Entry.pass(ConfigurationPushSpread);
+  CHECK_TRUE(Entry.sent<configuration_push>(A).empty());
+}
+
 TEST(Links, OtherVersionsAndOtherFirstMessagesAreRefused) {
   Entry.handle(link_opened{.Link = B});
   Entry.receive(B, {companion_hello{.Version = PeerProtocolVersion + 1}});
