--- a/programs/crocuswoodd/decision_duty.cpp
+++ b/programs/crocuswoodd/decision_duty.cpp
@@ -137,7 +137,7 @@
   }
   PublishedAt = Now;
   ToObserver.push(published_status{.Status = getStatus(),
-                                   .Configuration = getConfiguration()});
+                                   .Configuration = copyConfiguration()});
   Timers->Publish.expires_after(PublishInterval);
   Timers->Publish.async_wait([this](const boost::system::error_code &Error) {
     if (!Error) {
@@ -146,6 +146,17 @@
   });
 }
 
+// A document of thousands of classes is too large to be copied at each
+// publication.
+std::shared_ptr<const configuration> decision_duty::copyConfiguration() {
+  const configuration &Current = getConfiguration();
+  if (!PublishedConfiguration ||
+      PublishedConfiguration->Revision != Current.Revision) {
+    PublishedConfiguration = std::make_shared<const configuration>(Current);
+  }
+  return PublishedConfiguration;
+}
+
 // The timer waits for its turn behind everything that was ready before it.
 void decision_duty::measureLag() {
   Timers->Lag.expires_after(LagInterval);
--- a/programs/crocuswoodd/decision_duty.h
+++ b/programs/crocuswoodd/decision_duty.h
@@ -78,6 +78,7 @@
   void armWake(instant Now);
   void armRetry();
   void publish(instant Now);
+  std::shared_ptr<const configuration> copyConfiguration();
 
   class timers;
 
@@ -90,6 +91,7 @@
   std::unique_ptr<timers> Timers;
   std::optional<instant> WakeTime;
   std::optional<instant> PublishedAt;
+  std::shared_ptr<const configuration> PublishedConfiguration;
   bool WakeChanged = false;
 };
 
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -9,6 +9,7 @@
 #include <crocuswood/platform.h>
 #include <crocuswood/ports.h>
 
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -121,7 +122,8 @@
 
 struct published_status {
   status_snapshot Status;
-  configuration Configuration;
+  /// The same object until the revision changes; never null.
+  std::shared_ptr<const configuration> Configuration;
 };
 /// The core has ended everything after a planned stop.
 struct decisions_finished {};
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -232,7 +232,7 @@
   } else if (Request.Path == "/v1/status") {
     Respond({.Body = writeStatus(Self, Zone, Published->Status)});
   } else if (Request.Path == "/v1/configuration") {
-    Respond({.Body = config::write(Published->Configuration)});
+    Respond({.Body = config::write(*Published->Configuration)});
   } else if (Request.Path == "/v1/processes") {
     serveProcesses(Respond);
   } else {
@@ -341,13 +341,13 @@
                               const respond &Respond) const {
   std::optional<std::string> Document;
   if (Published && Kind == "classes") {
-    const auto Class = Published->Configuration.Classes.find(Name);
-    if (Class != Published->Configuration.Classes.end()) {
+    const auto Class = Published->Configuration->Classes.find(Name);
+    if (Class != Published->Configuration->Classes.end()) {
       Document = config::write(Class->second);
     }
   } else if (Published) {
-    const auto Team = Published->Configuration.Teams.find(Name);
-    if (Team != Published->Configuration.Teams.end()) {
+    const auto Team = Published->Configuration->Teams.find(Name);
+    if (Team != Published->Configuration->Teams.end()) {
       Document = config::write(Team->second);
     }
   }
