Allow for an entry's own delay before a new link is refused

Callers saw: after a restart of everything with 1,400 routes 370 links were refused at the entries since no hello had come in time, although the companions had sent it; each is dialled again and costs the late entry more.

Cause: a silent link is judged with the entry's own delay taken off, a link that waits for its hello was not.

Change: both are judged alike. Why it works: what lies unread in the socket no longer counts as the companion's delay, so a late entry keeps the link and reads its hello with the next turn.

Test OwnOverload.ANewLinkIsNotRefusedForWhatTheEntryHasNotGotTo, seen failing on (1 link closed, 0 expected).

--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -266,7 +266,9 @@
 void link_manager::closePendingLinks() {
   std::vector<link_id> Expired;
   for (const auto &[Link, OpenedAt] : Pending) {
-    if (State.now() - OpenedAt > State.Options.SilenceLimit) {
+    // What this process has not got to yet is no delay of the companion.
+    if (State.now() - State.Overload.getLag() - OpenedAt >
+        State.Options.SilenceLimit) {
       Expired.push_back(link_id{Link});
     }
   }
--- a/tests/entry/overload_test.cpp
+++ b/tests/entry/overload_test.cpp
@@ -58,6 +58,23 @@
   CHECK_EQUAL(1U, Entry.countEvents(event_kind::LinkSilent));
 }
 
+// Guards against links that never come about after a restart because the entry
+// gives them up before it has read what the companions sent.
+TEST(OwnOverload, ANewLinkIsNotRefusedForWhatTheEntryHasNotGotTo) {
+  const duration Silence = entry_harness::defaults().SilenceLimit;
+  const std::size_t Before = Entry.actions<close_link>().size();
+  Entry.handle(lag_measured{.Lag = milliseconds(500)});
+  Entry.handle(link_opened{.Link = link_id{2}});
+  for (duration Passed{}; Passed < Silence + milliseconds(400);
+       Passed += Sample) {
+    Entry.pass(Sample);
+    Entry.receive(A, {companion_heartbeat{.ConfigurationRevision = 1}});
+  }
+  CHECK_EQUAL(Before, Entry.actions<close_link>().size());
+  Entry.pass(milliseconds(600));
+  CHECK_EQUAL(Before + 1, Entry.actions<close_link>().size());
+}
+
 TEST(OwnOverload, CallersAreSentAwayIfItLastsAndTakenBackLater) {
   lag(Late, milliseconds(300));
   CHECK_TRUE(isReady());
