--- a/tests/processes/soak_test.py
+++ b/tests/processes/soak_test.py
@@ -104,6 +104,29 @@
             old.stop()
         self.fleet.entries[place] = self.start_entry(old.name, callers=old.callers)
 
+    def restart_everything(self, load):
+        """Kills every process at once, as after a loss of power, and starts them again; the
+        store may be away until later, and a new process may be killed again."""
+        fleet = self.fleet
+        if self.draw.random() < 0.5:
+            fleet.control(fleet.platform, "down")
+        entries = [(entry.name, entry.callers) for entry in fleet.entries]
+        for process in fleet.entries + fleet.companions + fleet.endpoints:
+            process.kill()
+        time.sleep(self.draw.uniform(0, 1))
+        vms = len(fleet.companions)
+        fleet.companions, fleet.endpoints = [], []
+        fleet.entries = [self.start_entry(name, callers=callers) for name, callers in entries]
+        for _ in range(vms):
+            self.add_vm()
+        time.sleep(self.draw.uniform(0, 1))
+        if self.draw.random() < 0.5:
+            self.restart_entry()
+        fleet.control(fleet.platform, "ok")
+        print("restarted everything", flush=True)
+        fleet.wait_until_ready()
+        fleet.wait_for_answers(load, ANSWERS_BETWEEN)
+
     def step(self, load):
         faults = (self.harm_links, self.freeze, self.harm_store, self.end_vm, self.restart_entry)
         chosen = [self.draw.choice(faults) for _ in range(self.draw.randint(1, MOST_AT_ONCE))]
@@ -131,6 +154,7 @@
         load = fleet.start_load(fleet.entries)
         for _ in range(STEPS):
             series.step(load)
+        series.restart_everything(load)
         tally = fleet.stop_load(load)
         expect_honest(tally)
         expect(tally["completed"] >= STEPS * ANSWERS_BETWEEN, f"too few answers: {tally}")
