Let every new link name the tasks that its entry still has there

Cause: a task placed on a link that was idle waits at the companion for a lease. If that link closes, the entry, whose latest grant is long past, gives the task up at once and repeats it elsewhere. It forgets the companion then, so its greeting on the next link named no task, and the companion kept the old one in its queue until that link brought a lease, with which it started. Links that close right after placements are rare but for changes of large configurations.

That the companion starts such a task is shown by the test without the naming: 1 start.

Change: the greeting of each new link to a life of a companion names what is outstanding, also if that is nothing; the companion gives back what it does not name before it can get a lease, as both come on the same link in this order.

--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -114,9 +114,11 @@
 
 void task_desk::resume(const step &Step, entry_peer &Peer,
                        const resume_request &Message) {
-  timeline_event Event = makeEvent(event_kind::LinkResumed, Peer.Id.Name);
-  Event.Value = static_cast<std::int64_t>(Message.Outstanding.size());
-  Step.record(std::move(Event));
+  if (!Message.Outstanding.empty()) {
+    timeline_event Event = makeEvent(event_kind::LinkResumed, Peer.Id.Name);
+    Event.Value = static_cast<std::int64_t>(Message.Outstanding.size());
+    Step.record(std::move(Event));
+  }
   Peer.ResendEnds = false;
   dropUnnamed(Step, Peer, Message);
   resume_reply Reply;
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -82,6 +82,9 @@
 }
 
 void link_manager::takeHello(link_id Link, const companion_hello &Hello) {
+  const companion_index Known = State.Companions.find(Hello.Companion.Name);
+  const bool IsNewLife =
+      Known != NoCompanion && State.Companions[Known].Id != Hello.Companion;
   const companion_index Companion = enrol(Link, Hello);
   if (Companion == NoCompanion) {
     refuseLink(Link, "A newer incarnation of this companion is known.");
@@ -101,7 +104,9 @@
   State.Companions.attachLink(Companion, Link, State.now());
   State.Sink.recordPeer(event_kind::LinkOpened, Record.Id.Name);
   greet(Companion);
-  resume(Companion);
+  if (!IsNewLife) {
+    resume(Companion);
+  }
 }
 
 companion_index link_manager::enrol(link_id Link,
@@ -153,9 +158,9 @@
 
 void link_manager::resume(companion_index Companion) {
   const companion_record &Record = State.Companions[Companion];
-  if (Record.Outstanding.empty()) {
-    return;
-  }
+  // Also without outstanding tasks: what the companion has in its queue from an
+  // earlier link may run elsewhere by now, and must not start with the lease of
+  // this one.
   resume_request Request;
   std::vector<task_id> Withdrawn;
   for (const task_ref &Task : Record.Outstanding) {
@@ -164,8 +169,11 @@
       Withdrawn.push_back(Task.getId());
     }
   }
-  State.Sink.recordPeer(event_kind::LinkResumed, Record.Id.Name, {},
-                        static_cast<std::int64_t>(Request.Outstanding.size()));
+  if (!Request.Outstanding.empty()) {
+    State.Sink.recordPeer(
+        event_kind::LinkResumed, Record.Id.Name, {},
+        static_cast<std::int64_t>(Request.Outstanding.size()));
+  }
   outbox &Outbox = State.Companions.openOutbox(Companion);
   Outbox.add(std::move(Request));
   for (const task_id &Task : Withdrawn) {
--- a/tests/companion/lease_test.cpp
+++ b/tests/companion/lease_test.cpp
@@ -16,6 +16,7 @@
   Options.HeartbeatInterval = milliseconds(80);
   Options.IdleHeartbeatInterval = milliseconds(400);
   Options.SilenceLimit = seconds(5);
+  Options.RedialInterval = milliseconds(40);
   return Options;
 }
 
@@ -107,6 +108,25 @@
   CHECK_EQUAL(0U, countStarts());
 }
 
+// Guards against a task that starts with the lease of a new link although its
+// entry has given it up with the old one.
+TEST(Lease, ATaskThatTheNewLinkDoesNotNameNeverStarts) {
+  Driver.pass(Lease * 2);
+  receive({makeLeasedPlacement(1)});
+  CHECK_EQUAL(0U, countStarts());
+  Driver.feed(link_closed{.Link = Link});
+  // Longer than the pause before the next dial, shorter than the lease.
+  Driver.pass(milliseconds(100));
+  CHECK_TRUE(Driver.findDial(AddressA) != Link);
+  Link = *Driver.findDial(AddressA);
+  Driver.feed(link_opened{.Link = Link});
+  receive({entry_hello{.Entry = {.Name = "entry-a", .Incarnation = EntryA},
+                       .Zone = "asolo"},
+           resume_request{}, lease_grant{.At = Driver.Now.time_since_epoch()}});
+  Driver.pass(Lease / 2);
+  CHECK_EQUAL(0U, countStarts());
+}
+
 TEST(Lease, TasksOfAnEntryWithoutALeaseDontHoldUpThoseOfOthers) {
   receive({makeLeasedPlacement(1)});
   Driver.feed(entries_read{.Entries = {AddressA, AddressB}});
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -128,6 +128,18 @@
   CHECK_TRUE(Entry.isCompleted(Request));
 }
 
+// Guards against two runs of one task: one that the entry repeated after its
+// link was idle and closed, and the first, which would start on the new link.
+TEST(Links, ANewLinkNamesWhatIsOutstandingAlsoIfNothingIs) {
+  Entry.handle(link_closed{.Link = A});
+  Entry.connect(A2, "runner-a");
+  const auto Resumed = Entry.sent<resume_request>(A2);
+  CHECK_EQUAL(1U, Resumed.size());
+  CHECK_TRUE(Resumed[0].Outstanding.empty());
+  // Without it nothing may be said of tasks of an earlier link.
+  CHECK_EQUAL(0U, Entry.countEvents(event_kind::LinkResumed));
+}
+
 TEST(Links, SilenceNeverLeadsToAnotherPlacement) {
   const request_id Request = Entry.submit("fast");
   Entry.connect(B, "runner-b");
