Log input that a caller's connection drops after its last answer

Callers saw: a whole request, sent 2.2 s after the SIGTERM of its entry, ended without an answer when its connection was closed. The log has no line for such a request: it was never submitted.

Change: a connection that closes after having read and dropped input says so in an event, input_dropped, with the number of bytes. No logic changes.

--- a/benchmarks/http/caller_front_benchmark.cpp
+++ b/benchmarks/http/caller_front_benchmark.cpp
@@ -36,6 +36,7 @@
     return true;
   }
   void jobCancelled(request_id, bool) override {}
+  void inputDropped(std::uint64_t) override {}
 
   http::caller_front *Front = nullptr;
   std::uint64_t Count = 0;
--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -98,9 +98,12 @@
   using handler = std::function<void(plain_request, respond)>;
   /// The peer has gone before the request of this number was answered.
   using abandoned = std::function<void(std::uint64_t)>;
+  /// A connection has ended with so many bytes after its last answer.
+  using dropped = std::function<void(std::uint64_t)>;
 
   plain_server(boost::asio::io_context &Context, server_limits Limits,
-               handler Handler, abandoned Abandoned = nullptr);
+               handler Handler, abandoned Abandoned = nullptr,
+               dropped Dropped = nullptr);
   ~plain_server();
   checked<std::uint16_t> listen(const peer_address &Address);
   /// Answers say from now on that their connection closes.
--- a/packages/http/src/caller_front.cpp
+++ b/packages/http/src/caller_front.cpp
@@ -120,6 +120,10 @@
     Events.jobCancelled(request_id{Tag}, true);
   }
 
+  void inputDropped(std::uint64_t Bytes) override {
+    Events.inputDropped(Bytes);
+  }
+
 private:
   static constexpr duration RetryInterval = std::chrono::seconds(1);
 
--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -116,6 +116,10 @@
   Requests.requestAbandoned(Tag);
 }
 
+void connection_server::inputDropped(std::uint64_t Bytes) {
+  Requests.inputDropped(Bytes);
+}
+
 void connection_server::connectionClosed(server_connection &Connection) {
   Connections.erase(&Connection);
   finishDrain();
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -19,6 +19,7 @@
   virtual server_response rejectInput(unsigned Status,
                                       const std::string &Reason) = 0;
   virtual void requestAbandoned(std::uint64_t Tag) = 0;
+  virtual void inputDropped(std::uint64_t Bytes) = 0;
 };
 
 /// A listening socket and the connections that came in by it.
@@ -48,6 +49,7 @@
   server_response rejectInput(unsigned Status,
                               const std::string &Reason) override;
   void requestAbandoned(std::uint64_t Tag) override;
+  void inputDropped(std::uint64_t Bytes) override;
   void connectionClosed(server_connection &Connection) override;
 
 private:
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -63,9 +63,9 @@
 class plain_server::implementation final : public request_handler {
 public:
   implementation(asio::io_context &Context, server_limits Limits,
-                 handler Handler, abandoned Abandoned)
+                 handler Handler, abandoned Abandoned, dropped Dropped)
       : Handler(std::move(Handler)), Abandoned(std::move(Abandoned)),
-        Server(Context, Limits, *this) {}
+        Dropped(std::move(Dropped)), Server(Context, Limits, *this) {}
 
   connection_server &getServer() { return Server; }
 
@@ -102,17 +102,26 @@
     }
   }
 
+  void inputDropped(std::uint64_t Bytes) override {
+    if (Dropped) {
+      Dropped(Bytes);
+    }
+  }
+
 private:
   handler Handler;
   abandoned Abandoned;
+  dropped Dropped;
   std::uint64_t LastNumber = 0;
   connection_server Server;
 };
 
 plain_server::plain_server(asio::io_context &Context, server_limits Limits,
-                           handler Handler, abandoned Abandoned)
-    : Impl(std::make_unique<implementation>(Context, Limits, std::move(Handler),
-                                            std::move(Abandoned))) {}
+                           handler Handler, abandoned Abandoned,
+                           dropped Dropped)
+    : Impl(std::make_unique<implementation>(
+          Context, Limits, std::move(Handler), std::move(Abandoned),
+          std::move(Dropped))) {}
 
 plain_server::~plain_server() = default;
 
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -409,6 +409,9 @@
   Socket.close(Ignored);
   dropParser();
   abandonRequests();
+  if (Handler != nullptr && Discarded > 0) {
+    Handler->inputDropped(Discarded);
+  }
   if (Handler != nullptr) {
     Handler->connectionClosed(*this);
   }
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -44,6 +44,8 @@
                                       const std::string &Reason) = 0;
   /// The peer went away before the request with this tag was answered.
   virtual void requestAbandoned(std::uint64_t Tag) = 0;
+  /// The connection ends with input that came after its last answer.
+  virtual void inputDropped(std::uint64_t Bytes) = 0;
   /// The connection is closed and can be released.
   virtual void connectionClosed(server_connection &Connection) = 0;
 };
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -59,6 +59,7 @@
     "store_down",
     "store_up",
     "turn_slow",
+    "input_dropped",
 };
 static_assert(!KindNames.back().empty());
 
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -270,6 +270,8 @@
   virtual bool jobSubmitted(request_id Request, job_request Job) = 0;
   /// The caller has cancelled the job or closed its connection.
   virtual void jobCancelled(request_id Request, bool CallerGone) = 0;
+  /// A connection has ended with \p Bytes that came after its last answer.
+  virtual void inputDropped(std::uint64_t Bytes) = 0;
 };
 
 /// Receives the events of the time line.
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -66,6 +66,7 @@
     "table service is down",
     "table service is up",
     "a turn of the decisions took %span",
+    "dropped input after the last answer of a connection",
 };
 static_assert(!Happenings.back().empty());
 
--- a/programs/crocuswoodd/entry_decisions.cpp
+++ b/programs/crocuswoodd/entry_decisions.cpp
@@ -38,7 +38,14 @@
 }
 
 void entry_decisions::takeFrontItem(instant Now, front_item Item) {
-  std::visit([&](auto &Event) { handle(Now, std::move(Event)); }, Item);
+  std::visit(
+      overloaded{[&](input_dropped &Dropped) {
+                   getRecorder().record(
+                       {.Kind = event_kind::InputDropped,
+                        .Value = static_cast<std::int64_t>(Dropped.Bytes)});
+                 },
+                 [&](auto &Event) { handle(Now, std::move(Event)); }},
+      Item);
 }
 
 void entry_decisions::takePlatformItem(instant Now, platform_item Item) {
--- a/programs/crocuswoodd/front_duty.cpp
+++ b/programs/crocuswoodd/front_duty.cpp
@@ -45,6 +45,13 @@
   }
 }
 
+void front_duty::inputDropped(std::uint64_t Bytes) {
+  ToDecisions.push(input_dropped{.Bytes = Bytes});
+  if (ToDecisions.isBlocked()) {
+    Retry.arm();
+  }
+}
+
 void front_duty::takeCommands() {
   front_command Command;
   while (FromDecisions.tryPop(Command)) {
--- a/programs/crocuswoodd/front_duty.h
+++ b/programs/crocuswoodd/front_duty.h
@@ -37,6 +37,7 @@
 private:
   bool jobSubmitted(request_id Request, job_request Job) override;
   void jobCancelled(request_id Request, bool CallerGone) override;
+  void inputDropped(std::uint64_t Bytes) override;
   void takeCommands();
 
   outbox<front_item> ToDecisions;
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -49,7 +49,12 @@
 
 // Front to decisions.
 
-using front_item = std::variant<entry::job_submitted, entry::job_cancelled>;
+/// A caller's connection has ended with input after its last answer.
+struct input_dropped {
+  std::uint64_t Bytes = 0;
+};
+using front_item =
+    std::variant<entry::job_submitted, entry::job_cancelled, input_dropped>;
 
 // Decisions to front.
 
--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -133,12 +133,14 @@
   void jobCancelled(request_id Request, bool CallerGone) override {
     Cancelled.emplace_back(Request, CallerGone);
   }
+  void inputDropped(std::uint64_t Bytes) override { DroppedBytes += Bytes; }
 
   bool Takes = true;
   std::function<void(request_id, const job_request &)> OnSubmit;
   std::vector<request_id> Requests;
   std::vector<job_request> Jobs;
   std::vector<std::pair<request_id, bool>> Cancelled;
+  std::uint64_t DroppedBytes = 0;
 };
 
 /// \returns the answer that echoes the inputs of \p Job.
