End idle callers' connections with a refusal and take what is unread

Callers saw: a whole request gets neither an answer nor a refusal, mostly when its entry ends its intake 2.5 s after SIGTERM (record: sent at 28.170 s, closed at 28.515 s).

Cause: a connection counted as idle if the process had read nothing from it. A request that lay unread in the socket, or crossed the end on its way, was read and dropped after the sending side had been shut. The idle limit and the last step of a stop, also on connections that had just been accepted, did the same without a stop, so a slow process could cut a request at any time.

Change: a connection with unread input isn't idle; the read that is under way takes it. An idle connection ends with 503, Connection: close and Retry-After, as a connection beyond the bound does already. Why it works: whatever a caller has sent on a connection, or still sends, finds either its answer or this refusal, which is true: nothing after it is ever taken.

--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnavailable = 503;
+constexpr const char *RetrySeconds = "1";
 
 server_response badInput(unsigned Status, const std::string &Reason) {
   return {.Status = Status,
@@ -93,7 +95,11 @@
 
   server_response rejectInput(unsigned Status,
                               const std::string &Reason) override {
-    return badInput(Status, Reason);
+    server_response Response = badInput(Status, Reason);
+    if (Status == StatusUnavailable) {
+      Response.Headers.emplace_back("Retry-After", RetrySeconds);
+    }
+    return Response;
   }
 
   void requestAbandoned(std::uint64_t Number) override {
@@ -119,9 +125,9 @@
 plain_server::plain_server(asio::io_context &Context, server_limits Limits,
                            handler Handler, abandoned Abandoned,
                            dropped Dropped)
-    : Impl(std::make_unique<implementation>(
-          Context, Limits, std::move(Handler), std::move(Abandoned),
-          std::move(Dropped))) {}
+    : Impl(std::make_unique<implementation>(Context, Limits, std::move(Handler),
+                                            std::move(Abandoned),
+                                            std::move(Dropped))) {}
 
 plain_server::~plain_server() = default;
 
--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -99,8 +99,8 @@
 }
 
 void server_connection::closeIfIdle() {
-  if (!Closed && !Lingering && isIdle()) {
-    linger();
+  if (!Closed && !Lingering && isIdle() && !hasUnreadInput()) {
+    endIdle();
   }
 }
 
@@ -128,8 +128,8 @@
     }
     return;
   }
-  if (isIdle() && Silent > State.Limits.IdleLimit) {
-    linger();
+  if (Silent > State.Limits.IdleLimit) {
+    closeIfIdle();
   }
 }
 
@@ -373,13 +373,24 @@
   if (Output.capacity() > BodyReadBytes) {
     Output.shrink_to_fit();
   }
-  if (FinalAnswer || (State.Draining && isIdle())) {
+  if (FinalAnswer) {
     linger();
     return;
   }
   parseInput();
   flush();
   read();
+  if (State.Draining) {
+    closeIfIdle();
+  }
+}
+
+// A request that is on its way can't be taken back by its caller, so the last
+// thing that it finds on the connection is a refusal.
+void server_connection::endIdle() {
+  rejectFault(StatusUnavailable,
+              "The connection was closed before the request was read.");
+  flush();
 }
 
 // Closing a socket with unread input resets the connection, which may destroy
@@ -421,6 +432,16 @@
   return Slots.empty() && !Writing && !Parser && Input.size() == 0;
 }
 
+// A late process may not have read yet what has arrived long ago. The read that
+// is under way takes it, also the end of the input.
+bool server_connection::hasUnreadInput() {
+  char First = 0;
+  error_code Error;
+  Socket.receive(asio::buffer(&First, sizeof(First)), tcp::socket::message_peek,
+                 Error);
+  return Error != asio::error::would_block;
+}
+
 bool server_connection::closesAfter(const slot &Slot) const {
   if (!Slot.KeepAlive) {
     return true;
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -73,7 +73,8 @@
   void respond(slot_number Slot, server_response Response);
   /// Closes at once, whatever is under way.
   void close();
-  /// Closes the connection if nothing is under way on it.
+  /// Closes the connection if nothing is under way on it. The caller is told
+  /// that nothing more is taken, in case a request crosses the end.
   void closeIfIdle();
   /// Enforces the time limits.
   void checkTime(steady_clock::time_point Now);
@@ -109,8 +110,10 @@
   bool appendNextAnswer();
   void writeSome();
   void bytesWritten(error_code Error, std::size_t Bytes);
+  void endIdle();
   void linger();
   bool isIdle() const;
+  bool hasUnreadInput();
   bool closesAfter(const slot &Slot) const;
 
   tcp::socket Socket;
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -240,6 +240,64 @@
   CHECK_TRUE(Waiting.waitFor("200 OK"));
 }
 
+// Guards against the loss of a whole request that a late process has not read
+// when it closes its idle connections.
+TEST(CallerFront, AnUnreadRequestIsTakenWhenIdleConnectionsClose) {
+  start();
+  raw_connection Caller(Context, Port);
+  settle(Context);
+  Caller.send(submission("1"));
+  Front->announceStop();
+  Front->closeIdle();
+  CHECK_TRUE(waitForJobs(1));
+  answerEcho(0);
+  CHECK_TRUE(Caller.waitFor("200 OK"));
+  CHECK_TRUE(Caller.waitFor("Connection: close"));
+  CHECK_TRUE(Caller.waitClosed());
+}
+
+// Guards against the loss of a whole request that is on its way when its
+// connection is closed for being idle.
+TEST(CallerFront, ARequestThatCrossesTheEndOfAnIdleConnectionIsRefused) {
+  start();
+  raw_connection Caller(Context, Port);
+  settle(Context);
+  Front->announceStop();
+  Front->closeIdle();
+  Caller.send(submission("1"));
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("Retry-After: 1"));
+  CHECK_TRUE(Caller.waitFor("Connection: close"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  CHECK_TRUE(Caller.waitClosed());
+  CHECK_EQUAL(0U, Events.Jobs.size());
+}
+
+// Guards against the loss of a whole request on a connection that reaches its
+// idle limit, without any stop.
+TEST(CallerFront, ARequestThatCrossesTheIdleLimitIsRefused) {
+  start({.IdleLimit = std::chrono::milliseconds(100)});
+  raw_connection Caller(Context, Port);
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  CHECK_TRUE(Caller.waitClosed());
+}
+
+// Guards against the loss of the first request of a connection that is accepted
+// by the last step of a stop.
+TEST(CallerFront, ANewConnectionIsToldOfTheStop) {
+  start();
+  raw_connection Caller(Context, Port);
+  bool Drained = false;
+  Front->stopAccepting();
+  Front->drain([&Drained] { Drained = true; });
+  Caller.send(submission("1"));
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  Caller.close();
+  CHECK_TRUE(runUntil(Context, [&] { return Drained; }));
+}
+
 TEST(CallerFront, ConnectionsThatWaitToBeAcceptedAreAnsweredOnStop) {
   start();
   raw_connection Caller(Context, Port);
