Answer every job of a stop before the process is killed

Callers saw: a request that an entry has taken after its SIGTERM ends without an answer when the process is killed at the end of its grace time.

Cause: a planned stop waited for all jobs without a bound, and nothing told the process of the time that it has. A job whose deadline lies beyond it, or whose tasks wait behind a burst, was still open at SIGKILL.

Change: the setting limits.stop_limit says when the process is killed. 800 ms before it the jobs that are left fail with 'stopping': refused if nothing has run, as uncertain otherwise. Then the stop waits for answers only. Why it works: every caller has its answer while the process can still write it.

Test JobLife.AStopAnswersEveryJobBeforeItsLimit, seen failing with the limit not set (the behaviour before).

--- a/packages/entry/include/crocuswood/entry.h
+++ b/packages/entry/include/crocuswood/entry.h
@@ -48,6 +48,9 @@
   /// A planned stop takes new jobs for this long, until the balancer has
   /// noticed that the entry is not ready.
   duration StopDelay{};
+  /// A planned stop fails the jobs that are left after this, so that their
+  /// callers are answered before the process is killed; 0 waits for all jobs.
+  duration StopLimit{};
   std::uint32_t MaxOutstandingTasks = 200'000; ///< Admission stops there.
   duration ClaimLimit =
       std::chrono::seconds(5); ///< A claim unconfirmed for longer is refused.
--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -33,6 +33,7 @@
   if (Now >= NextCheck) {
     checkTimes();
   }
+  failLateJobs();
   Dispatcher.run();
   checkStop();
   scheduleWake();
@@ -107,6 +108,10 @@
   }
   State.Draining = true;
   IntakeEnds = State.now() + State.Options.StopDelay;
+  if (State.Options.StopLimit > duration::zero()) {
+    JobsEnd = State.now() + State.Options.StopLimit;
+    IntakeEnds = std::min(*IntakeEnds, *JobsEnd);
+  }
   closeIntake();
 }
 
@@ -120,9 +125,28 @@
   Links.announce();
 }
 
+void core::implementation::failLateJobs() {
+  if (hasEndedJobs()) {
+    Jobs.failAll({.Code = failure_code::Stopping,
+                  .Reason = "The entry stops before the job could end."});
+  }
+}
+
+bool core::implementation::hasEndedJobs() const {
+  return JobsEnd && State.now() >= *JobsEnd;
+}
+
+// Once the time for jobs is over, nothing but their answers is waited for:
+// companions end their tasks, and claims are settled while the process drains.
+bool core::implementation::mayStop() const {
+  if (hasEndedJobs()) {
+    return State.Jobs.countRequests() == 0;
+  }
+  return State.Jobs.getCount() == 0 && Claims.isSettled();
+}
+
 void core::implementation::checkStop() {
-  if (!State.Stopping || StopReported || State.Jobs.getCount() > 0 ||
-      !Claims.isSettled()) {
+  if (!State.Stopping || StopReported || !mayStop()) {
     return;
   }
   StopReported = true;
@@ -137,6 +161,9 @@
   if (const auto Ready = Dispatcher.getNextTime()) {
     Next = std::min(Next, *Ready);
   }
+  if (JobsEnd && !hasEndedJobs()) {
+    Next = std::min(Next, *JobsEnd);
+  }
   if (WakeAt && *WakeAt == Next) {
     return;
   }
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -34,6 +34,10 @@
   void dispatchEvent(event &Event);
   void checkTimes();
   void takeLag(duration Lag);
+  /// Fails the jobs that are left when the time of a planned stop is over.
+  void failLateJobs();
+  bool hasEndedJobs() const;
+  bool mayStop() const;
   void checkStop();
   void scheduleWake();
   void requestStop();
@@ -52,6 +56,7 @@
   instant NextCheck;
   std::optional<instant> WakeAt;     ///< As last asked for.
   std::optional<instant> IntakeEnds; ///< While draining.
+  std::optional<instant> JobsEnd;    ///< While draining, if it is bounded.
   bool StopReported = false;
   instant AwaySince; ///< When callers were last sent away or taken back.
   bool SteersAway = false;
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -355,6 +355,14 @@
   }
 }
 
+void job_manager::failAll(const job_failure &Failure) {
+  for (const request_id Request : State.Jobs.listRequests()) {
+    if (job *Job = State.Jobs.findRequest(Request)) {
+      fail(*Job, Failure);
+    }
+  }
+}
+
 // Answers.
 
 void job_manager::progress(job &Job) {
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -27,6 +27,8 @@
 
   /// Fails \p Job for its first reason and withdraws what can be withdrawn.
   void fail(job &Job, job_failure Failure);
+  /// Ends every job whose caller waits for its answer.
+  void failAll(const job_failure &Failure);
   /// Answers \p Job if a change of its tasks makes that possible, and removes
   /// it after its last task. \p Job must not be used afterwards.
   void progress(job &Job);
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -66,6 +66,15 @@
   }
 }
 
+std::vector<request_id> job_table::listRequests() const {
+  std::vector<request_id> Waiting;
+  Waiting.reserve(Requests.size());
+  for (const auto &[Request, Sequence] : Requests) {
+    Waiting.push_back(request_id{Request});
+  }
+  return Waiting;
+}
+
 void job_table::setTimer(job &Job, instant At) {
   clearTimer(Job);
   Job.Timer = At;
--- a/packages/entry/src/job_table.h
+++ b/packages/entry/src/job_table.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace crocuswood::entry {
 
@@ -47,6 +48,9 @@
   job *takeExpired(instant Now);
 
   std::size_t getCount() const { return Jobs.size(); }
+  /// \returns the requests whose callers wait for an answer.
+  std::vector<request_id> listRequests() const;
+  std::size_t countRequests() const { return Requests.size(); }
 
 private:
   incarnation Self;
--- a/packages/settings/include/crocuswood/settings.h
+++ b/packages/settings/include/crocuswood/settings.h
@@ -63,6 +63,8 @@
   std::uint32_t MaxBodyBytes = 8U * 1024 * 1024;
   duration IdleLimit = std::chrono::seconds(60);
   duration StopDelay{}; ///< A planned stop takes new jobs for this long.
+  duration StopLimit{}; ///< A process that stops is killed after this; 0 if it
+                        ///< is waited for.
 };
 
 struct companion_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -20,6 +20,7 @@
 constexpr bounds<duration> PlatformPollBounds = {milliseconds(100), minutes(1)};
 constexpr bounds<duration> LeaseBounds = {milliseconds(0), minutes(1)};
 constexpr bounds<duration> StopDelayBounds = {milliseconds(0), minutes(10)};
+constexpr bounds<duration> StopLimitBounds = {milliseconds(0), minutes(60)};
 constexpr bounds<duration> IdleBounds = {seconds(1), hours(1)};
 constexpr bounds<duration> EndpointTimeBounds = {seconds(1), hours(24)};
 constexpr bounds<std::uint32_t> TimelineEventsBounds = {1'000, 10'000'000};
@@ -115,6 +116,7 @@
   Limits.readByteSize("body_bytes", Target.MaxBodyBytes, BodyBytesBounds);
   Limits.readDuration("idle", Target.IdleLimit, IdleBounds);
   Limits.readDuration("stop_delay", Target.StopDelay, StopDelayBounds);
+  Limits.readDuration("stop_limit", Target.StopLimit, StopLimitBounds);
   Limits.finish();
   return Target;
 }
--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -41,6 +41,16 @@
              : entry::options().LossLimit;
 }
 
+// The jobs of a planned stop end earlier than the process: the proof that
+// nothing runs, the answers and a process that is late take their time.
+constexpr duration AnswerTime = 800ms;
+
+duration makeStopLimit(duration ProcessLimit) {
+  return ProcessLimit == duration::zero()
+             ? duration::zero()
+             : std::max(ProcessLimit - AnswerTime, ProcessLimit / 2);
+}
+
 entry::options makeOptions(const settings::entry_settings &Settings,
                            incarnation Life) {
   return {.Self = {.Name = Settings.Process.Name, .Incarnation = Life},
@@ -53,6 +63,7 @@
           .LossLimit = makeLossLimit(Settings.Process.Lease),
           .GrantsLeases = Settings.Process.Lease.Entry > duration::zero(),
           .StopDelay = Settings.StopDelay,
+          .StopLimit = makeStopLimit(Settings.StopLimit),
           .MaxOutstandingTasks = Settings.MaxOutstandingTasks};
 }
 
--- a/tests/entry/job_life_test.cpp
+++ b/tests/entry/job_life_test.cpp
@@ -143,6 +143,46 @@
   CHECK_TRUE(Entry.isCompleted(Request));
 }
 
+// Guards against a caller whose job outlasts the time that a stopping process
+// is given, and whose connection then ends without an answer.
+TEST(JobLife, AStopAnswersEveryJobBeforeItsLimit) {
+  options Options = entry_harness::defaults();
+  Options.StopDelay = std::chrono::seconds(2);
+  Options.StopLimit = std::chrono::seconds(5);
+  Options.SilenceLimit = std::chrono::minutes(1);
+  entry_harness Stopping(Options);
+  Stopping.handle(configuration_read{entry_harness::defaultConfiguration()});
+  Stopping.connect(A, "runner-a");
+  const request_id Running = Stopping.submit("fast");
+  Stopping.handle(stop_requested{});
+  Stopping.pass(std::chrono::seconds(1));
+  const request_id Later = Stopping.submit("fast", 12);
+  Stopping.pass(std::chrono::milliseconds(3'900));
+  CHECK_TRUE(Stopping.answerOf(Running) == nullptr);
+  CHECK_TRUE(Stopping.answerOf(Later) == nullptr);
+  CHECK_TRUE(Stopping.actions<stop_finished>().empty());
+  Stopping.pass(std::chrono::milliseconds(600));
+  CHECK_TRUE(Stopping.mayHaveRun(Running, failure_code::Stopping));
+  CHECK_TRUE(Stopping.answerOf(Later) != nullptr);
+  CHECK_EQUAL(1U, Stopping.actions<stop_finished>().size());
+}
+
+// Guards against a job that runs to its end within the limit and is failed.
+TEST(JobLife, AStopLimitLeavesJobsThatEndBeforeItAlone) {
+  options Options = entry_harness::defaults();
+  Options.StopLimit = std::chrono::seconds(5);
+  Options.SilenceLimit = std::chrono::minutes(1);
+  entry_harness Stopping(Options);
+  Stopping.handle(configuration_read{entry_harness::defaultConfiguration()});
+  Stopping.connect(A, "runner-a");
+  const request_id Request = Stopping.submit("fast");
+  Stopping.handle(stop_requested{});
+  Stopping.pass(std::chrono::milliseconds(4'500));
+  Stopping.complete(A, Stopping.placed(A)[0]);
+  CHECK_TRUE(Stopping.isCompleted(Request));
+  CHECK_EQUAL(1U, Stopping.actions<stop_finished>().size());
+}
+
 TEST(JobLife, StopFinishesWhatWasAcceptedAndTakesNothingNew) {
   const request_id Request = Entry.submit("fast");
   Entry.handle(stop_requested{});
