Take connections whose acceptance is reported after the listening socket closed

Cause: when connections wait, the system takes the next one while the one before it is reported, and its report is queued. If the listening socket closes before the report comes, connection_server::accepted() dropped the socket.

Change: a connection that was accepted is taken whatever the listening socket does since, and a drain looks at the connections only after the queued reports. Why it works: from then on it is like any other: its request is answered, or it is told that nothing more is taken.

--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -82,8 +82,13 @@
   stopAccepting();
   State.Draining = true;
   DrainDone = std::move(Done);
-  closeIdle();
-  finishDrain();
+  // Connections whose acceptance has not been reported yet come first.
+  asio::post(Context, [this, Alive = Alive] {
+    if (*Alive) {
+      closeIdle();
+      finishDrain();
+    }
+  });
 }
 
 // Closing one takes it out of Connections.
@@ -134,12 +139,16 @@
       });
 }
 
+// A connection may be reported after the listening socket has closed. It is
+// one that the system had accepted already.
 void connection_server::accepted(error_code Error, tcp::socket Socket) {
+  if (!Error) {
+    add(std::move(Socket));
+  }
   if (!Acceptor.is_open()) {
     return;
   }
   if (!Error) {
-    add(std::move(Socket));
     accept();
     return;
   }
@@ -179,6 +188,8 @@
   if (Full) {
     Connection->rejectAtOnce(StatusUnavailable,
                              "Too many connections are open.");
+  } else if (State.Draining) {
+    Connection->closeIfIdle();
   }
 }
 
