Refuse every connection beyond the bounds instead of dropping some

Cause: connection_server::add() dropped a socket when the limit and 256 refused connections were open; refused ones stay for up to a second.

Change: no more are accepted until refused ones have gone. Why it works: who waits in the queue of the listening socket is accepted a little later and told.

--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -127,6 +127,9 @@
 
 void connection_server::connectionClosed(server_connection &Connection) {
   Connections.erase(&Connection);
+  if (AcceptPaused && Acceptor.is_open()) {
+    acceptNext();
+  }
   finishDrain();
 }
 
@@ -149,7 +152,7 @@
     return;
   }
   if (!Error) {
-    accept();
+    acceptNext();
     return;
   }
   // Out of file descriptors, most likely: wait until some are free.
@@ -161,6 +164,15 @@
   });
 }
 
+// Connections beyond the bounds wait to be accepted until refused ones have
+// gone, so that each of them is told.
+void connection_server::acceptNext() {
+  AcceptPaused = getConnections() >= State.Limits.MaxConnections + MaxRejected;
+  if (!AcceptPaused) {
+    accept();
+  }
+}
+
 // Closing the listening socket resets connections that wait to be accepted,
 // though their requests may have been sent already.
 void connection_server::acceptWaiting() {
@@ -176,11 +188,7 @@
 }
 
 void connection_server::add(tcp::socket Socket) {
-  const std::size_t Open = Connections.size();
-  const bool Full = Open >= State.Limits.MaxConnections;
-  if (Open >= State.Limits.MaxConnections + MaxRejected) {
-    return;
-  }
+  const bool Full = Connections.size() >= State.Limits.MaxConnections;
   const auto Connection =
       std::make_shared<server_connection>(std::move(Socket), State, *this);
   Connections.emplace(Connection.get(), Connection);
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -55,6 +55,7 @@
 private:
   void accept();
   void accepted(error_code Error, tcp::socket Socket);
+  void acceptNext();
   void acceptWaiting();
   void add(tcp::socket Socket);
   std::vector<std::shared_ptr<server_connection>> listConnections() const;
@@ -67,6 +68,7 @@
   tcp::acceptor Acceptor;
   asio::steady_timer CheckTimer;
   asio::steady_timer AcceptTimer;
+  bool AcceptPaused = false; ///< Until connections have closed.
   std::unordered_map<server_connection *, std::shared_ptr<server_connection>>
       Connections;
   std::function<void()> DrainDone;
