Let no signal end a process that is stopping

Callers saw: no answer to a whole request when an entry got SIGTERM a second time during its planned stop, or SIGHUP in its last steps.

Cause: a second SIGTERM was taken as an order to end at once, and the handlers of all signals were given up when the last job had ended, so that from then on SIGHUP and SIGTERM had their default action: they killed the process while it closed the connections of its callers. Before the settings were read they did the same.

Change: the signals are caught from the start of the process to its end. SIGTERM and SIGHUP change nothing during a stop; SIGINT still ends it at once, since only a person sends it. Why it works: nothing but SIGKILL and SIGINT ends the process before its answers.

--- a/programs/crocuswoodd/companion_daemon.cpp
+++ b/programs/crocuswoodd/companion_daemon.cpp
@@ -76,7 +76,7 @@
   companion_process &operator=(const companion_process &) = delete;
 
   bool listen();
-  int run(const std::string &SettingsFile);
+  int run(const std::string &SettingsFile, process_signals &Signals);
 
 private:
   void startDuties();
@@ -190,16 +190,17 @@
       "next start.");
 }
 
-int companion_process::run(const std::string &SettingsFile) {
+int companion_process::run(const std::string &SettingsFile,
+                           process_signals &Signals) {
   startDuties();
-  const bool Ended =
-      waitForStop({.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
-                   .Reload = [this, SettingsFile] { reload(SettingsFile); },
-                   .SettingsFile = SettingsFile},
-                  Finished.get_future());
+  const bool Ended = Signals.waitForStop(
+      {.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
+       .Reload = [this, SettingsFile] { reload(SettingsFile); },
+       .SettingsFile = SettingsFile},
+      Finished.get_future());
   if (!Ended) {
     log(log_level::Warn, "companion",
-        "A second signal ends the process before its tasks.");
+        "SIGINT ends the process before its tasks.");
     return ExitFailed;
   }
   if (!runAndWait(LinkThread, LinkDrainLimit,
@@ -214,12 +215,12 @@
 } // namespace
 
 int runCompanion(const settings::companion_settings &Settings,
-                 const std::string &SettingsFile) {
+                 const std::string &SettingsFile, process_signals &Signals) {
   companion_process Process(Settings, drawIncarnation());
   if (!Process.listen()) {
     return ExitFailed;
   }
-  return Process.run(SettingsFile);
+  return Process.run(SettingsFile, Signals);
 }
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/daemon.cpp
+++ b/programs/crocuswoodd/daemon.cpp
@@ -85,16 +85,6 @@
   std::filesystem::file_time_type Seen{};
 };
 
-void waitForHangup(boost::asio::signal_set &Hangups, file_watch &Watch) {
-  Hangups.async_wait([&](const boost::system::error_code &Error, int) {
-    if (Error) {
-      return;
-    }
-    Watch.trigger();
-    waitForHangup(Hangups, Watch);
-  });
-}
-
 } // namespace
 
 std::optional<std::string> readFile(const std::string &Name) {
@@ -138,28 +128,70 @@
   return Future.wait_for(Limit) == std::future_status::ready;
 }
 
-bool waitForStop(const signal_handlers &Handlers, std::future<void> Finished) {
-  boost::asio::io_context Context;
-  boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
-  boost::asio::signal_set Hangups(Context, SIGHUP);
-  boost::asio::steady_timer Timer(Context);
-  const auto Shared = std::make_shared<std::future<void>>(std::move(Finished));
-  file_watch Watch(Context, Handlers.SettingsFile, Handlers.Reload);
-  waitForHangup(Hangups, Watch);
-  Signals.async_wait([&](const boost::system::error_code &Error, int) {
-    if (Error) {
-      return;
-    }
-    Handlers.Stop();
-    pollFinished(Context, Timer, Shared);
-    Signals.async_wait([&](const boost::system::error_code &SecondError, int) {
-      if (!SecondError) {
+class process_signals::implementation {
+public:
+  implementation()
+      : Stops(Context, SIGTERM, SIGINT), Hangups(Context, SIGHUP),
+        Timer(Context) {}
+
+  bool waitForStop(const signal_handlers &Handlers,
+                   std::future<void> Finished) {
+    const auto Shared =
+        std::make_shared<std::future<void>>(std::move(Finished));
+    file_watch Watch(Context, Handlers.SettingsFile, Handlers.Reload);
+    waitForHangup(Watch);
+    Stops.async_wait([&](const boost::system::error_code &Error, int) {
+      if (Error) {
+        return;
+      }
+      Handlers.Stop();
+      pollFinished(Context, Timer, Shared);
+      waitForInterrupt();
+    });
+    Context.run();
+    return Shared->wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+  }
+
+private:
+  void waitForHangup(file_watch &Watch) {
+    Hangups.async_wait([&](const boost::system::error_code &Error, int) {
+      if (Error) {
+        return;
+      }
+      Watch.trigger();
+      waitForHangup(Watch);
+    });
+  }
+
+  // A supervisor may repeat SIGTERM; only a person sends SIGINT.
+  void waitForInterrupt() {
+    Stops.async_wait([&](const boost::system::error_code &Error, int Number) {
+      if (Error) {
+        return;
+      }
+      if (Number == SIGINT) {
         Context.stop();
+        return;
       }
+      log(log_level::Info, "signals", "The process stops already.");
+      waitForInterrupt();
     });
-  });
-  Context.run();
-  return Shared->wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  }
+
+  boost::asio::io_context Context;
+  boost::asio::signal_set Stops;
+  boost::asio::signal_set Hangups;
+  boost::asio::steady_timer Timer;
+};
+
+process_signals::process_signals() : Impl(std::make_unique<implementation>()) {}
+
+process_signals::~process_signals() = default;
+
+bool process_signals::waitForStop(const signal_handlers &Handlers,
+                                  std::future<void> Finished) {
+  return Impl->waitForStop(Handlers, std::move(Finished));
 }
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/daemon.h
+++ b/programs/crocuswoodd/daemon.h
@@ -46,9 +46,23 @@
   std::string SettingsFile; ///< Watched for changes.
 };
 
-/// Waits for SIGTERM or SIGINT and returns when \p Finished is ready after it.
-/// A second signal makes it return at once. \returns whether \p Finished
-/// became ready.
-bool waitForStop(const signal_handlers &Handlers, std::future<void> Finished);
+/// Catches the signals of the process as long as it exists, so that none of
+/// them ends the process in the middle of its start or of a planned stop.
+class process_signals {
+public:
+  process_signals();
+  ~process_signals();
+  process_signals(const process_signals &) = delete;
+  process_signals &operator=(const process_signals &) = delete;
+
+  /// Waits for SIGTERM or SIGINT and returns when \p Finished is ready after
+  /// it. A later SIGINT makes it return at once, a later SIGTERM changes
+  /// nothing. \returns whether \p Finished became ready.
+  bool waitForStop(const signal_handlers &Handlers, std::future<void> Finished);
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -85,7 +85,7 @@
   entry_process &operator=(const entry_process &) = delete;
 
   bool listen();
-  int run(const std::string &SettingsFile);
+  int run(const std::string &SettingsFile, process_signals &Signals);
 
 private:
   void startDuties();
@@ -205,16 +205,16 @@
       "Read again. Changes take effect at the next start.");
 }
 
-int entry_process::run(const std::string &SettingsFile) {
+int entry_process::run(const std::string &SettingsFile,
+                       process_signals &Signals) {
   startDuties();
-  const bool Ended =
-      waitForStop({.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
-                   .Reload = [this, SettingsFile] { reload(SettingsFile); },
-                   .SettingsFile = SettingsFile},
-                  Finished.get_future());
+  const bool Ended = Signals.waitForStop(
+      {.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
+       .Reload = [this, SettingsFile] { reload(SettingsFile); },
+       .SettingsFile = SettingsFile},
+      Finished.get_future());
   if (!Ended) {
-    log(log_level::Warn, "entry",
-        "A second signal ends the process before its jobs.");
+    log(log_level::Warn, "entry", "SIGINT ends the process before its jobs.");
     return ExitFailed;
   }
   drain();
@@ -250,12 +250,12 @@
 } // namespace
 
 int runEntry(const settings::entry_settings &Settings,
-             const std::string &SettingsFile) {
+             const std::string &SettingsFile, process_signals &Signals) {
   entry_process Process(Settings, drawIncarnation());
   if (!Process.listen()) {
     return ExitFailed;
   }
-  return Process.run(SettingsFile);
+  return Process.run(SettingsFile, Signals);
 }
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/entry_daemon.h
+++ b/programs/crocuswoodd/entry_daemon.h
@@ -8,8 +8,10 @@
 
 namespace crocuswood::daemon {
 
+class process_signals;
+
 /// Runs an entry until a planned stop has ended. \returns the exit code.
 int runEntry(const settings::entry_settings &Settings,
-             const std::string &SettingsFile);
+             const std::string &SettingsFile, process_signals &Signals);
 
 } // namespace crocuswood::daemon
--- a/programs/crocuswoodd/main.cpp
+++ b/programs/crocuswoodd/main.cpp
@@ -72,14 +72,14 @@
 
 template <class Settings, class Run>
 int runWith(const checked<Settings> &Parsed, const std::string &SettingsFile,
-            Run RunRole) {
+            process_signals &Signals, Run RunRole) {
   if (const auto *Faults = std::get_if<findings>(&Parsed)) {
     std::cerr << toString(*Faults);
     return ExitBadInput;
   }
   const auto &Valid = std::get<Settings>(Parsed);
   setUpLog(Valid.Process.Log);
-  return RunRole(Valid, SettingsFile);
+  return RunRole(Valid, SettingsFile, Signals);
 }
 
 int run(int argc, char **argv) {
@@ -95,12 +95,13 @@
   }
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  process_signals Signals;
   if (Arguments->Role == "entry") {
     return runWith(settings::parseEntry(*Text, Arguments->SettingsFile),
-                   Arguments->SettingsFile, runEntry);
+                   Arguments->SettingsFile, Signals, runEntry);
   }
   return runWith(settings::parseCompanion(*Text, Arguments->SettingsFile),
-                 Arguments->SettingsFile, runCompanion);
+                 Arguments->SettingsFile, Signals, runCompanion);
 }
 
 } // namespace
