Check that planned work breaks off no whole request

Callers saw requests that ended without an answer beside a planned stop. The process tests could not see it: the load stand-in sends a job again when its connection ends, so a request that was broken off ended as an answered job.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -171,15 +171,18 @@
         process = self.start(name, [program, role, "--settings", settings])
         process.operators = operators
         process.timeline = timeline
+        process.settings = settings
         self.timelines.append(process)
         return process
 
-    def start_entry(self, name, callers=None, links=None, advertise=None):
+    def start_entry(self, name, callers=None, links=None, advertise=None, limits=None):
         callers = callers or f"{HOST}:{free_port()}"
         links = links or f"{HOST}:{free_port()}"
         lines = [f"callers: {callers}", f"links: {links}"]
         if advertise:
             lines.append(f"advertise: {advertise}")
+        if limits:
+            lines.append(f"limits: {limits}")
         entry = self.start_daemon("entry", name, lines)
         entry.callers = callers
         entry.links = links
--- a/tests/processes/soak_test.py
+++ b/tests/processes/soak_test.py
@@ -7,7 +7,8 @@
 Faults come from outside of the processes: signals, relays between companions and entries, and
 the store. Callers keep their connections. Verdicts are those of the other process tests: every
 job has one honest end, the system goes on answering between the faults, and the checker finds no
-broken promise in the merged time line.
+broken promise in the merged time line. Each seed ends with planned work alone, beside which no
+whole request may be broken off.
 """
 
 import random
@@ -16,14 +17,20 @@
 
 import fleet as fleet_module
 from fleet import HOST, expect, expect_honest, free_port, run
+from planned_work import PASSING, PlannedWork
 
 # The first three cover both forms of the settings. Seeds that failed once are added, each with
 # its cause.
+# 1: whole requests were broken off when connections reached their idle limit
+# 2: whole requests lay unread or were on their way when a stop ended its intake
+# 3: as 2, and a second SIGTERM ended an entry at once
 KEPT_SEEDS = [1, 2, 3]
 
 STEPS = 6
 MOST_AT_ONCE = 3
 ANSWERS_BETWEEN = 30
+PLANNED_STEPS = 3
+RAW_CALLERS = 200
 LEASED = """intervals: {heartbeat: 100ms, idle_heartbeat: 400ms, silence: 400ms, platform_poll: 200ms}
 lease: {entry: 500ms, endpoint: 500ms}
 threads: one"""
@@ -32,8 +39,9 @@
 class Soak:
     """One fleet and the faults of one seed."""
 
-    def __init__(self, fleet, draw):
+    def __init__(self, fleet, draw, limits):
         self.fleet = fleet
+        self.limits = limits
         self.draw = draw
         self.undo = []
         self.vms = 0
@@ -51,9 +59,10 @@
         fleet.configure(fleet.entries[0])
         fleet.wait_until_ready()
 
-    def start_entry(self, name, callers=None):
+    def start_entry(self, name, callers=None, limits=None):
         relay, links = self.relays[name]
-        return self.fleet.start_entry(name, callers=callers, links=links, advertise=relay.address)
+        return self.fleet.start_entry(name, callers=callers, links=links, advertise=relay.address,
+                                      limits=limits or self.limits)
 
     def add_vm(self):
         self.vms += 1
@@ -144,17 +153,29 @@
         self.undo.clear()
         self.fleet.wait_for_answers(load, ANSWERS_BETWEEN)
 
+    def plan(self, load, seed):
+        """Planned work alone, with raw callers. Its draws are its own."""
+        work = PlannedWork(self.fleet, seed, self.start_entry, self.add_vm)
+        self.fleet.put(self.fleet.entries[0], "/v1/classes/passing", PASSING)
+        work.start_callers(RAW_CALLERS)
+        for _ in range(PLANNED_STEPS):
+            work.step()
+        work.finish()
+        self.fleet.wait_for_answers(load, ANSWERS_BETWEEN)
+
 
 def soak(seed):
     def test(fleet):
         print("seed:", seed, flush=True)
         draw = random.Random(seed)
-        series = Soak(fleet, draw)
+        # Connections of every third seed reach their idle limit.
+        series = Soak(fleet, draw, "{idle: 1s}" if seed % 3 == 1 else None)
         series.start()
         load = fleet.start_load(fleet.entries)
         for _ in range(STEPS):
             series.step(load)
         series.restart_everything(load)
+        series.plan(load, seed)
         tally = fleet.stop_load(load)
         expect_honest(tally)
         expect(tally["completed"] >= STEPS * ANSWERS_BETWEEN, f"too few answers: {tally}")
