Check that a connection in acceptance is answered on stop

Callers saw a reset of a new connection, with a whole request on it, when an entry ended a planned stop after a pause. When connections wait, the next one is taken by the system while the one before it is reported, and its report is queued. If the listening socket closes before the report comes, connection_server::accepted() returns and the socket is dropped.

The test fails on: First and Third are answered as stopping, Second is reset without an answer.

--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -248,6 +248,24 @@
   CHECK_TRUE(Caller.waitFor("\"error\":\"stopping\""));
 }
 
+// Guards against the loss of a whole request on a connection that the system has
+// handed over already when the listening socket closes.
+TEST(CallerFront, AConnectionThatIsBeingAcceptedIsAnsweredOnStop) {
+  start();
+  raw_connection First(Context, Port);
+  raw_connection Second(Context, Port);
+  raw_connection Third(Context, Port);
+  First.send(submission("1"));
+  Second.send(submission("2"));
+  Third.send(submission("3"));
+  CHECK_TRUE(
+      runUntil(Context, [this] { return Front->getConnections() == 1; }));
+  Front->stopAccepting();
+  CHECK_TRUE(First.waitFor("\"error\":\"stopping\""));
+  CHECK_TRUE(Third.waitFor("\"error\":\"stopping\""));
+  CHECK_TRUE(Second.waitFor("\"error\":\"stopping\""));
+}
+
 TEST(CallerFront, AnswerWithinTheSubmissionIsWritten) {
   start();
   Events.OnSubmit = [this](request_id Request, const job_request &Job) {
