Check that every connection of a crowd is refused

Callers saw connections that were closed without an answer to a whole request while an entry had many more connections than its limit, without any planned work. connection_server::add() drops a socket when as many as limits.connections and 256 more are open; refused connections stay open for up to a second.

The test fails on: 256 of 399 are refused, 143 are closed without an answer.

--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -248,8 +248,31 @@
   CHECK_TRUE(Caller.waitFor("\"error\":\"stopping\""));
 }
 
-// Guards against the loss of a whole request on a connection that the system has
-// handed over already when the listening socket closes.
+// Guards against the loss of whole requests on connections far beyond the
+// bound, which stay open after their refusal.
+TEST(CallerFront, EveryConnectionOfACrowdIsRefused) {
+  constexpr std::size_t Crowd = 400;
+  start({.MaxConnections = 1});
+  std::vector<std::unique_ptr<raw_connection>> Callers;
+  for (std::size_t Count = 0; Count < Crowd; ++Count) {
+    Callers.push_back(std::make_unique<raw_connection>(Context, Port));
+    Callers.back()->send(submission("1"));
+  }
+  CHECK_TRUE(waitForJobs(1));
+  std::size_t Refused = 0;
+  for (std::size_t Index = 1; Index < Crowd; ++Index) {
+    raw_connection &Caller = *Callers[Index];
+    runUntil(Context, [&] {
+      return Caller.isClosed() ||
+             Caller.received().find("HTTP/1.1 503") != std::string::npos;
+    });
+    Refused += Caller.received().empty() ? 0 : 1;
+  }
+  CHECK_EQUAL(Crowd - 1, Refused);
+}
+
+// Guards against the loss of a whole request on a connection that the system
+// has handed over already when the listening socket closes.
 TEST(CallerFront, AConnectionThatIsBeingAcceptedIsAnsweredOnStop) {
   start();
   raw_connection First(Context, Port);
