Let callers connect while an entry stops

The raw callers kept their connections and seldom met the moment at which the listening socket closes. Now 40 callers connect in each wait for the end of an entry and during each pause, send one request and ask for a close.

--- a/tests/processes/planned_work.py
+++ b/tests/processes/planned_work.py
@@ -18,6 +18,9 @@
 
 MOST_AT_ONCE = 3
 PAUSE_S = (0.05, 0.4)
+# Callers that connect while an entry stops, in each of the waits for its end.
+RUSH = 40
+RUSH_S = 0.1
 ANSWER_LIMIT_S = 30
 MOST_EXPLAINED = 20
 PASSING = {"name": "passing", "answer_within": "2s", "refuse_at_most": 0.01, "idempotent": True}
@@ -112,6 +115,7 @@
             expect(time.monotonic() < begin + ANSWER_LIMIT_S * 2, f"{entry.name} doesn't stop")
             if again:
                 self.send(entry, draw.choice((signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)))
+            self.callers.rush(entry.callers, RUSH, RUSH_S)
             if draw.random() < 0.1:
                 self.pause(entry, draw)
             time.sleep(draw.uniform(0.005, 0.1))
@@ -123,6 +127,7 @@
         self.note(f"pause of {entry.name} for {pause_s * 1000:.0f} ms")
         entry.freeze()
         self.callers.burst(entry.callers, pause_s)
+        self.callers.rush(entry.callers, RUSH, pause_s)
         time.sleep(pause_s)
         entry.thaw()
 
