--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -82,8 +82,13 @@
   stopAccepting();
   State.Draining = true;
   DrainDone = std::move(Done);
-  closeIdle();
-  finishDrain();
+  // Connections whose acceptance has not been reported yet come first.
+  asio::post(Context, [this, Alive = Alive] {
+    if (*Alive) {
+      closeIdle();
+      finishDrain();
+    }
+  });
 }
 
 // Closing one takes it out of Connections.
@@ -116,8 +121,15 @@
   Requests.requestAbandoned(Tag);
 }
 
+void connection_server::inputDropped(std::uint64_t Bytes) {
+  Requests.inputDropped(Bytes);
+}
+
 void connection_server::connectionClosed(server_connection &Connection) {
   Connections.erase(&Connection);
+  if (AcceptPaused && Acceptor.is_open()) {
+    acceptNext();
+  }
   finishDrain();
 }
 
@@ -130,13 +142,17 @@
       });
 }
 
+// A connection may be reported after the listening socket has closed. It is
+// one that the system had accepted already.
 void connection_server::accepted(error_code Error, tcp::socket Socket) {
+  if (!Error) {
+    add(std::move(Socket));
+  }
   if (!Acceptor.is_open()) {
     return;
   }
   if (!Error) {
-    add(std::move(Socket));
-    accept();
+    acceptNext();
     return;
   }
   // Out of file descriptors, most likely: wait until some are free.
@@ -148,6 +164,15 @@
   });
 }
 
+// Connections beyond the bounds wait to be accepted until refused ones have
+// gone, so that each of them is told.
+void connection_server::acceptNext() {
+  AcceptPaused = getConnections() >= State.Limits.MaxConnections + MaxRejected;
+  if (!AcceptPaused) {
+    accept();
+  }
+}
+
 // Closing the listening socket resets connections that wait to be accepted,
 // though their requests may have been sent already.
 void connection_server::acceptWaiting() {
@@ -163,11 +188,7 @@
 }
 
 void connection_server::add(tcp::socket Socket) {
-  const std::size_t Open = Connections.size();
-  const bool Full = Open >= State.Limits.MaxConnections;
-  if (Open >= State.Limits.MaxConnections + MaxRejected) {
-    return;
-  }
+  const bool Full = Connections.size() >= State.Limits.MaxConnections;
   const auto Connection =
       std::make_shared<server_connection>(std::move(Socket), State, *this);
   Connections.emplace(Connection.get(), Connection);
@@ -175,6 +196,8 @@
   if (Full) {
     Connection->rejectAtOnce(StatusUnavailable,
                              "Too many connections are open.");
+  } else if (State.Draining) {
+    Connection->closeIfIdle();
   }
 }
 
--- a/packages/http/src/connection_server.h
+++ b/packages/http/src/connection_server.h
@@ -19,6 +19,7 @@
   virtual server_response rejectInput(unsigned Status,
                                       const std::string &Reason) = 0;
   virtual void requestAbandoned(std::uint64_t Tag) = 0;
+  virtual void inputDropped(std::uint64_t Bytes) = 0;
 };
 
 /// A listening socket and the connections that came in by it.
@@ -48,11 +49,13 @@
   server_response rejectInput(unsigned Status,
                               const std::string &Reason) override;
   void requestAbandoned(std::uint64_t Tag) override;
+  void inputDropped(std::uint64_t Bytes) override;
   void connectionClosed(server_connection &Connection) override;
 
 private:
   void accept();
   void accepted(error_code Error, tcp::socket Socket);
+  void acceptNext();
   void acceptWaiting();
   void add(tcp::socket Socket);
   std::vector<std::shared_ptr<server_connection>> listConnections() const;
@@ -65,6 +68,7 @@
   tcp::acceptor Acceptor;
   asio::steady_timer CheckTimer;
   asio::steady_timer AcceptTimer;
+  bool AcceptPaused = false; ///< Until connections have closed.
   std::unordered_map<server_connection *, std::shared_ptr<server_connection>>
       Connections;
   std::function<void()> DrainDone;
--- a/packages/http/src/plain_server.cpp
+++ b/packages/http/src/plain_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnavailable = 503;
+constexpr const char *RetrySeconds = "1";
 
 server_response badInput(unsigned Status, const std::string &Reason) {
   return {.Status = Status,
@@ -63,9 +65,9 @@
 class plain_server::implementation final : public request_handler {
 public:
   implementation(asio::io_context &Context, server_limits Limits,
-                 handler Handler, abandoned Abandoned)
+                 handler Handler, abandoned Abandoned, dropped Dropped)
       : Handler(std::move(Handler)), Abandoned(std::move(Abandoned)),
-        Server(Context, Limits, *this) {}
+        Dropped(std::move(Dropped)), Server(Context, Limits, *this) {}
 
   connection_server &getServer() { return Server; }
 
@@ -93,7 +95,11 @@
 
   server_response rejectInput(unsigned Status,
                               const std::string &Reason) override {
-    return badInput(Status, Reason);
+    server_response Response = badInput(Status, Reason);
+    if (Status == StatusUnavailable) {
+      Response.Headers.emplace_back("Retry-After", RetrySeconds);
+    }
+    return Response;
   }
 
   void requestAbandoned(std::uint64_t Number) override {
@@ -102,17 +108,26 @@
     }
   }
 
+  void inputDropped(std::uint64_t Bytes) override {
+    if (Dropped) {
+      Dropped(Bytes);
+    }
+  }
+
 private:
   handler Handler;
   abandoned Abandoned;
+  dropped Dropped;
   std::uint64_t LastNumber = 0;
   connection_server Server;
 };
 
 plain_server::plain_server(asio::io_context &Context, server_limits Limits,
-                           handler Handler, abandoned Abandoned)
+                           handler Handler, abandoned Abandoned,
+                           dropped Dropped)
     : Impl(std::make_unique<implementation>(Context, Limits, std::move(Handler),
-                                            std::move(Abandoned))) {}
+                                            std::move(Abandoned),
+                                            std::move(Dropped))) {}
 
 plain_server::~plain_server() = default;
 
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -44,6 +44,8 @@
                                       const std::string &Reason) = 0;
   /// The peer went away before the request with this tag was answered.
   virtual void requestAbandoned(std::uint64_t Tag) = 0;
+  /// The connection ends with input that came after its last answer.
+  virtual void inputDropped(std::uint64_t Bytes) = 0;
   /// The connection is closed and can be released.
   virtual void connectionClosed(server_connection &Connection) = 0;
 };
@@ -71,7 +73,8 @@
   void respond(slot_number Slot, server_response Response);
   /// Closes at once, whatever is under way.
   void close();
-  /// Closes the connection if nothing is under way on it.
+  /// Closes the connection if nothing is under way on it. The caller is told
+  /// that nothing more is taken, in case a request crosses the end.
   void closeIfIdle();
   /// Enforces the time limits.
   void checkTime(steady_clock::time_point Now);
@@ -107,8 +110,10 @@
   bool appendNextAnswer();
   void writeSome();
   void bytesWritten(error_code Error, std::size_t Bytes);
+  void endIdle();
   void linger();
   bool isIdle() const;
+  bool hasUnreadInput();
   bool closesAfter(const slot &Slot) const;
 
   tcp::socket Socket;
--- a/programs/crocuswoodd/entry_daemon.cpp
+++ b/programs/crocuswoodd/entry_daemon.cpp
@@ -41,6 +41,16 @@
              : entry::options().LossLimit;
 }
 
+// The jobs of a planned stop end earlier than the process: the proof that
+// nothing runs, the answers and a process that is late take their time.
+constexpr duration AnswerTime = 800ms;
+
+duration makeStopLimit(duration ProcessLimit) {
+  return ProcessLimit == duration::zero()
+             ? duration::zero()
+             : std::max(ProcessLimit - AnswerTime, ProcessLimit / 2);
+}
+
 entry::options makeOptions(const settings::entry_settings &Settings,
                            incarnation Life) {
   return {.Self = {.Name = Settings.Process.Name, .Incarnation = Life},
@@ -53,6 +63,7 @@
           .LossLimit = makeLossLimit(Settings.Process.Lease),
           .GrantsLeases = Settings.Process.Lease.Entry > duration::zero(),
           .StopDelay = Settings.StopDelay,
+          .StopLimit = makeStopLimit(Settings.StopLimit),
           .MaxOutstandingTasks = Settings.MaxOutstandingTasks};
 }
 
@@ -74,7 +85,7 @@
   entry_process &operator=(const entry_process &) = delete;
 
   bool listen();
-  int run(const std::string &SettingsFile);
+  int run(const std::string &SettingsFile, process_signals &Signals);
 
 private:
   void startDuties();
@@ -194,16 +205,16 @@
       "Read again. Changes take effect at the next start.");
 }
 
-int entry_process::run(const std::string &SettingsFile) {
+int entry_process::run(const std::string &SettingsFile,
+                       process_signals &Signals) {
   startDuties();
-  const bool Ended =
-      waitForStop({.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
-                   .Reload = [this, SettingsFile] { reload(SettingsFile); },
-                   .SettingsFile = SettingsFile},
-                  Finished.get_future());
+  const bool Ended = Signals.waitForStop(
+      {.Stop = [this] { MainToDecisions.tryPush(stop_asked{}); },
+       .Reload = [this, SettingsFile] { reload(SettingsFile); },
+       .SettingsFile = SettingsFile},
+      Finished.get_future());
   if (!Ended) {
-    log(log_level::Warn, "entry",
-        "A second signal ends the process before its jobs.");
+    log(log_level::Warn, "entry", "SIGINT ends the process before its jobs.");
     return ExitFailed;
   }
   drain();
@@ -239,12 +250,12 @@
 } // namespace
 
 int runEntry(const settings::entry_settings &Settings,
-             const std::string &SettingsFile) {
+             const std::string &SettingsFile, process_signals &Signals) {
   entry_process Process(Settings, drawIncarnation());
   if (!Process.listen()) {
     return ExitFailed;
   }
-  return Process.run(SettingsFile);
+  return Process.run(SettingsFile, Signals);
 }
 
 } // namespace crocuswood::daemon
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -240,6 +240,64 @@
   CHECK_TRUE(Waiting.waitFor("200 OK"));
 }
 
+// Guards against the loss of a whole request that a late process has not read
+// when it closes its idle connections.
+TEST(CallerFront, AnUnreadRequestIsTakenWhenIdleConnectionsClose) {
+  start();
+  raw_connection Caller(Context, Port);
+  settle(Context);
+  Caller.send(submission("1"));
+  Front->announceStop();
+  Front->closeIdle();
+  CHECK_TRUE(waitForJobs(1));
+  answerEcho(0);
+  CHECK_TRUE(Caller.waitFor("200 OK"));
+  CHECK_TRUE(Caller.waitFor("Connection: close"));
+  CHECK_TRUE(Caller.waitClosed());
+}
+
+// Guards against the loss of a whole request that is on its way when its
+// connection is closed for being idle.
+TEST(CallerFront, ARequestThatCrossesTheEndOfAnIdleConnectionIsRefused) {
+  start();
+  raw_connection Caller(Context, Port);
+  settle(Context);
+  Front->announceStop();
+  Front->closeIdle();
+  Caller.send(submission("1"));
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("Retry-After: 1"));
+  CHECK_TRUE(Caller.waitFor("Connection: close"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  CHECK_TRUE(Caller.waitClosed());
+  CHECK_EQUAL(0U, Events.Jobs.size());
+}
+
+// Guards against the loss of a whole request on a connection that reaches its
+// idle limit, without any stop.
+TEST(CallerFront, ARequestThatCrossesTheIdleLimitIsRefused) {
+  start({.IdleLimit = std::chrono::milliseconds(100)});
+  raw_connection Caller(Context, Port);
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  CHECK_TRUE(Caller.waitClosed());
+}
+
+// Guards against the loss of the first request of a connection that is accepted
+// by the last step of a stop.
+TEST(CallerFront, ANewConnectionIsToldOfTheStop) {
+  start();
+  raw_connection Caller(Context, Port);
+  bool Drained = false;
+  Front->stopAccepting();
+  Front->drain([&Drained] { Drained = true; });
+  Caller.send(submission("1"));
+  CHECK_TRUE(Caller.waitFor("HTTP/1.1 503"));
+  CHECK_TRUE(Caller.waitFor("not_run"));
+  Caller.close();
+  CHECK_TRUE(runUntil(Context, [&] { return Drained; }));
+}
+
 TEST(CallerFront, ConnectionsThatWaitToBeAcceptedAreAnsweredOnStop) {
   start();
   raw_connection Caller(Context, Port);
@@ -248,6 +306,47 @@
   CHECK_TRUE(Caller.waitFor("\"error\":\"stopping\""));
 }
 
+// Guards against the loss of whole requests on connections far beyond the
+// bound, which stay open after their refusal.
+TEST(CallerFront, EveryConnectionOfACrowdIsRefused) {
+  constexpr std::size_t Crowd = 400;
+  start({.MaxConnections = 1});
+  std::vector<std::unique_ptr<raw_connection>> Callers;
+  for (std::size_t Count = 0; Count < Crowd; ++Count) {
+    Callers.push_back(std::make_unique<raw_connection>(Context, Port));
+    Callers.back()->send(submission("1"));
+  }
+  CHECK_TRUE(waitForJobs(1));
+  std::size_t Refused = 0;
+  for (std::size_t Index = 1; Index < Crowd; ++Index) {
+    raw_connection &Caller = *Callers[Index];
+    runUntil(Context, [&] {
+      return Caller.isClosed() ||
+             Caller.received().find("HTTP/1.1 503") != std::string::npos;
+    });
+    Refused += Caller.received().empty() ? 0 : 1;
+  }
+  CHECK_EQUAL(Crowd - 1, Refused);
+}
+
+// Guards against the loss of a whole request on a connection that the system
+// has handed over already when the listening socket closes.
+TEST(CallerFront, AConnectionThatIsBeingAcceptedIsAnsweredOnStop) {
+  start();
+  raw_connection First(Context, Port);
+  raw_connection Second(Context, Port);
+  raw_connection Third(Context, Port);
+  First.send(submission("1"));
+  Second.send(submission("2"));
+  Third.send(submission("3"));
+  CHECK_TRUE(
+      runUntil(Context, [this] { return Front->getConnections() == 1; }));
+  Front->stopAccepting();
+  CHECK_TRUE(First.waitFor("\"error\":\"stopping\""));
+  CHECK_TRUE(Third.waitFor("\"error\":\"stopping\""));
+  CHECK_TRUE(Second.waitFor("\"error\":\"stopping\""));
+}
+
 TEST(CallerFront, AnswerWithinTheSubmissionIsWritten) {
   start();
   Events.OnSubmit = [this](request_id Request, const job_request &Job) {
