Give back queued tasks that no longer fit a smaller endpoint

What callers saw: after the capacity of an endpoint shrinks, a queued task that needs more than is left stays at the head of its companion's queue. Tasks start strictly in order, so nothing starts there until the task's deadline or until the endpoint grows, and the jobs of all entries that wait there are late.

Cause: needs were compared with the endpoint only when a task was placed.

Change: when the report changes, tasks that the endpoint could not run even alone (class, processor, memory, accelerators) go back to their entries at once as unsupported. The same check serves placements. Tasks that fit once runs end keep their place and are not overtaken.

Entries hear of the smaller room before the tasks come back, in one envelope, so they do not place them there again.

Tests seen failing before: CompanionCapacity. TasksThatNoLongerFitAtAllAreGivenBackAtOnce, TasksThatNoLongerFitAreGivenBackWithoutFreeRoom and WithoutRoomNothingIsTakenUntilItIsBack. The other tests of the group passed before: each size reaches entries at once, nothing starts over a smaller room while earlier runs hold it, runs keep the room that they were given.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -235,6 +235,8 @@
   broadcast(Report);
   if (Report.State != endpoint_state::Serving) {
     Desk.giveBackQueued(Step, Reason);
+  } else {
+    Desk.giveBackUnsupported(Step);
   }
 }
 
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -49,14 +49,7 @@
   if (Report.State != endpoint_state::Serving) {
     return not_started_reason::Leaving;
   }
-  const std::string &Pool = Task.Pool.empty() ? Task.Class : Task.Pool;
-  if (std::ranges::find(Report.Classes, Pool) == Report.Classes.end()) {
-    return not_started_reason::Unsupported;
-  }
-  const task_needs Needs = needsOf(Task);
-  if (Needs.MemoryBytes > Report.MemoryBytes ||
-      Needs.Accelerators > Report.Accelerators ||
-      roomFor(Report, Needs) > capacityOf(Report)) {
+  if (!isSupported(Task)) {
     return not_started_reason::Unsupported;
   }
   if (Task.Deadline && *Task.Deadline <= duration::zero()) {
@@ -69,6 +62,16 @@
   return std::nullopt;
 }
 
+bool task_desk::isSupported(const place_task &Task) const {
+  const endpoint_report Report = Endpoint.getReport();
+  const std::string &Pool = Task.Pool.empty() ? Task.Class : Task.Pool;
+  const task_needs Needs = needsOf(Task);
+  return std::ranges::find(Report.Classes, Pool) != Report.Classes.end() &&
+         Needs.MemoryBytes <= Report.MemoryBytes &&
+         Needs.Accelerators <= Report.Accelerators &&
+         roomFor(Report, Needs) <= capacityOf(Report);
+}
+
 void task_desk::answerDuplicate(const step &Step, entry_peer &Peer,
                                 const task_id &Task, task_memory Memory) {
   timeline_event Event = makeEvent(event_kind::TaskDuplicate, Task);
@@ -294,6 +297,15 @@
   }
 }
 
+void task_desk::giveBackUnsupported(const step &Step) {
+  const auto Unsupported = Queue.listTasks(
+      [this](const queued_task &Each) { return !isSupported(Each.Placement); });
+  for (const task_id &Task : Unsupported) {
+    Queue.remove(Task);
+    refuse(Step, Task, not_started_reason::Unsupported);
+  }
+}
+
 void task_desk::endLease(const step &Step, const entry_peer &Peer) {
   const incarnation Entry = Peer.Id.Incarnation;
   for (const task_id &Task :
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -56,6 +56,8 @@
   void giveBackExpired(const step &Step);
   /// Gives all queued tasks back.
   void giveBackQueued(const step &Step, not_started_reason Reason);
+  /// Gives back queued tasks that the endpoint can't run any more, even alone.
+  void giveBackUnsupported(const step &Step);
   /// Stops everything of an entry whose lease has ended, and gives back what
   /// has been queued for longer than a lease. The rest waits for a new one.
   void endLease(const step &Step, const entry_peer &Peer);
@@ -97,6 +99,8 @@
 
   std::optional<ended_run> takeRunning(const step &Step, const task_id &Task);
   std::optional<not_started_reason> findRefusal(const place_task &Task) const;
+  /// \returns whether the endpoint could run \p Task while it runs nothing.
+  bool isSupported(const place_task &Task) const;
   void answerDuplicate(const step &Step, entry_peer &Peer, const task_id &Task,
                        task_memory Memory);
   void resumeTask(const step &Step, entry_peer &Peer, const task_id &Task,
--- a/packages/companion/src/task_queue.cpp
+++ b/packages/companion/src/task_queue.cpp
@@ -101,18 +101,20 @@
 }
 
 std::vector<task_id> task_queue::listTasks() const {
-  std::vector<task_id> Tasks;
-  Tasks.reserve(Order.size());
-  for (const auto &[Position, Task] : Order) {
-    Tasks.push_back(Task.Placement.Task);
-  }
-  return Tasks;
+  return listTasks([](const queued_task & /*Task*/) { return true; });
 }
 
 std::vector<task_id> task_queue::listTasks(incarnation Entry) const {
+  return listTasks([Entry](const queued_task &Task) {
+    return Task.Placement.Task.Job.Entry == Entry;
+  });
+}
+
+std::vector<task_id> task_queue::listTasks(
+    const std::function<bool(const queued_task &)> &IsMeant) const {
   std::vector<task_id> Tasks;
   for (const auto &[Position, Task] : Order) {
-    if (Task.Placement.Task.Job.Entry == Entry) {
+    if (IsMeant(Task)) {
       Tasks.push_back(Task.Placement.Task);
     }
   }
--- a/packages/companion/src/task_queue.h
+++ b/packages/companion/src/task_queue.h
@@ -42,6 +42,9 @@
   std::vector<task_id> listTasks() const;
   /// \returns the tasks of one entry in the order of their slack.
   std::vector<task_id> listTasks(incarnation Entry) const;
+  /// \returns the tasks for which \p IsMeant holds in the order of their slack.
+  std::vector<task_id>
+  listTasks(const std::function<bool(const queued_task &)> &IsMeant) const;
   /// \returns when the longest waiting task of \p Entry was queued.
   std::optional<instant> findOldest(incarnation Entry) const;
   /// \returns the tasks of one entry that were queued at \p QueuedAt or before.
