Give back queued tasks that a changed class makes too large

What callers saw: after a change of the configuration that lets a class need more than an endpoint has, a queued task of the class stays at the head of the queue and nothing starts behind it.

Cause: the same as with a smaller endpoint: needs that a task does not name are the class's, read at the start, but were compared as a whole only at the placement.

Change: a configuration that comes into force gives back what no longer fits.

Test seen failing before: CompanionCapacity. TasksThatAChangedClassMakesTooLargeAreGivenBack.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -191,6 +191,8 @@
   Configuration = std::move(Value);
   Event.Kind = event_kind::ConfigurationInForce;
   Step.record(std::move(Event));
+  // Its classes may need more than before.
+  Desk.giveBackUnsupported(Step);
   // Entries that hear of it do not send it.
   broadcast(makeHeartbeat());
 }
--- a/tests/companion/capacity_test.cpp
+++ b/tests/companion/capacity_test.cpp
@@ -180,6 +180,18 @@
   CHECK_TRUE(isGivenBack(3, not_started_reason::Unsupported));
 }
 
+// Guards against the same queue held back by a change of the configuration that
+// lets a class need more than there is.
+TEST(CompanionCapacity, TasksThatAChangedClassMakesTooLargeAreGivenBack) {
+  linkWide();
+  Driver.receive(Link, makeCores(1, 8'000));
+  Driver.receive(Link, makeCores(2, 1'000));
+  configuration Next{.Revision = 2};
+  Next.Classes["pivot-check"] = {.Name = "pivot-check", .MemoryBytes = 9'000};
+  Driver.feed(configuration_read{Next});
+  CHECK_TRUE(isGivenBack(2, not_started_reason::Unsupported));
+}
+
 // Guards against small tasks that overtake a large one until its deadline.
 TEST(CompanionCapacity, AHeadThatFitsOnceRunsEndIsNotOvertaken) {
   linkWide();
