Count an endpoint without room among those that run no class

What callers saw: while every endpoint of a class has room for nothing, jobs of the class are taken and wait to their deadline instead of being refused.

Cause: whether an endpoint runs a class was read from its state, its classes and its memory only, so that an endpoint of capacity 0 counted as a runner.

Change: an endpoint without room runs no class. The rule for classes without endpoint then applies: jobs are refused after two seconds with that reason, and taken again as soon as there is room.

Test seen failing before: EntryCapacity.AnEndpointWithoutRoomRunsNoClass (the waiting job had no answer).

--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -205,6 +205,9 @@
 std::vector<class_index>
 companion_table::runnableClasses(const companion_record &Record) const {
   std::vector<class_index> Runnable;
+  if (capacityOf(Record.Endpoint) == 0) {
+    return Runnable;
+  }
   for (const std::string &Pool : Record.Endpoint.Classes) {
     for (const class_index Class : Classes.findPool(Pool)) {
       const class_spec &Spec = Classes[Class].Spec;
--- /dev/null
+++ b/tests/entry/capacity_test.cpp
@@ -0,0 +1,59 @@
+// The room of endpoints changes while jobs wait and run.
+#include "entry_harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::entry;
+
+namespace {
+
+constexpr link_id A{1};
+constexpr link_id B{2};
+constexpr duration Grace = std::chrono::seconds(2);
+constexpr duration Beat = std::chrono::milliseconds(300);
+
+} // namespace
+
+TEST_GROUP(EntryCapacity) {
+  entry_harness Entry;
+
+  void setup() override {
+    Entry.handle(configuration_read{entry_harness::defaultConfiguration()});
+    Entry.connect(A, "runner-a");
+    setCores(A, 8'000);
+  }
+  void setCores(link_id Link, std::uint32_t MilliCores,
+                std::uint64_t MemoryBytes = 8'000) {
+    Entry.receive(Link, {endpoint_report{.State = endpoint_state::Serving,
+                                         .Classes = {"fast", "slow", "sale"},
+                                         .Slots = MilliCores > 0 ? 8U : 0U,
+                                         .MemoryBytes = MemoryBytes,
+                                         .MilliCores = MilliCores}});
+  }
+  request_id submit(const task_needs &Needs) {
+    job_request Job{.Class = "slow", .Team = "acme"};
+    Job.Tasks.resize(1);
+    Job.Tasks[0].Input = payload("0");
+    Job.Tasks[0].Needs = Needs;
+    return Entry.submit(std::move(Job));
+  }
+  void pass(duration Span) {
+    for (duration Passed{}; Passed < Span; Passed += Beat) {
+      Entry.receive(A, {companion_heartbeat{.ConfigurationRevision = 1}});
+      Entry.pass(Beat);
+    }
+  }
+};
+
+TEST(EntryCapacity, AnEndpointWithoutRoomRunsNoClass) {
+  setCores(A, 0);
+  const request_id Waiting = submit({.MilliCores = 1'000});
+  CHECK_TRUE(Entry.placed(A).empty());
+  pass(Grace + Beat);
+  CHECK_TRUE(Entry.isNotRun(Waiting, failure_code::NoEndpoint));
+  CHECK_TRUE(Entry.isNotRun(submit({}), failure_code::NoEndpoint));
+  setCores(A, 8'000);
+  submit({});
+  CHECK_EQUAL(1U, Entry.placed(A).size());
+}
