Let no job that fits no endpoint hold back its class

What callers saw: when endpoints shrink, or a caller asks for more than any of them has, the job becomes the most urgent of its class at the entry, is placed nowhere, and no other job of the class is placed until its deadline.

Cause: a class whose first job finds no companion is passed over until something changes. That is right when room will come free, and wrong when no companion could run the task even alone.

Change: such a job is taken out of the queue and goes back into it, at its old place, as soon as a companion's offer has changed so that it may fit. After two seconds it is refused as having no endpoint, like a job whose class has none.

Tests seen failing before: EntryCapacity. AJobThatFitsNowhereDoesNotHoldBackItsClass (1 placement instead of 2) and AJobThatFitsNowhereForAWhileIsRefused (no answer). AJobRunsWhenTheRoomComesBackInTime passed before and guards the return.

--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -38,6 +38,18 @@
   return toSlots(capacityOf(Endpoint));
 }
 
+/// \returns whether \p Endpoint has what a task needs while it runs nothing.
+bool isLargeEnough(const endpoint_report &Endpoint, const task_needs &Needs) {
+  return roomFor(Endpoint, Needs) <= capacityOf(Endpoint) &&
+         Needs.MemoryBytes <= Endpoint.MemoryBytes &&
+         Needs.Accelerators <= Endpoint.Accelerators;
+}
+
+bool runs(const companion_record &Record, class_index Class) {
+  return std::binary_search(Record.Runnable.begin(), Record.Runnable.end(),
+                            Class);
+}
+
 } // namespace
 
 companion_table::companion_table(const class_table &Classes, std::string Zone)
@@ -260,6 +272,7 @@
 
 void companion_table::refreshClasses(companion_index Index, instant Now) {
   companion_record &Record = Records[Index];
+  ++OfferChanges;
   countOthers(Record);
   if (!mayServe(Record)) {
     setRunnable(Record, {});
@@ -312,6 +325,15 @@
              Record.Endpoint.Accelerators;
 }
 
+bool companion_table::mayFit(class_index Class, const task_needs &Needs) const {
+  return countRunners(Class) == 0 ||
+         std::any_of(Records.begin(), Records.end(),
+                     [&](const companion_record &Record) {
+                       return runs(Record, Class) &&
+                              isLargeEnough(Record.Endpoint, Needs);
+                     });
+}
+
 bool companion_table::hasUntried(const job &Job, std::uint32_t Index) const {
   std::uint32_t Tried = 0;
   for (const give_back &Each : Job.GivenBack) {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -78,6 +78,11 @@
   /// \returns linked and serving companions that can run \p Class, those
   /// barred from it included.
   std::uint32_t countRunners(class_index Class) const;
+  /// \returns whether a companion that can run \p Class has what a task needs
+  /// while it runs nothing, or none can run the class at all.
+  bool mayFit(class_index Class, const task_needs &Needs) const;
+  /// \returns a number that grows when any companion may offer more or less.
+  std::uint64_t getOfferChanges() const { return OfferChanges; }
   /// \returns whether any companion that can run the class of \p Job has not
   /// given back its task \p Index yet.
   bool hasUntried(const job &Job, std::uint32_t Index) const;
@@ -114,6 +119,7 @@
   std::vector<companion_index> DirtyList;
   std::vector<std::uint32_t> Runners; ///< By class.
   std::vector<double> OfferedSlots;   ///< By class, over all companions.
+  std::uint64_t OfferChanges = 0;
   std::uint32_t LiveEntries = 1;
   double SumOthers = 0; ///< Of all serving companions.
   double SumSlots = 0;
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -10,6 +10,7 @@
 
 void dispatcher::run() {
   admitReadyTeams();
+  admitFitting();
   if (State.Queue.getCount() == 0 && State.Retries.isEmpty()) {
     return;
   }
@@ -39,6 +40,25 @@
   }
 }
 
+void dispatcher::admitFitting() {
+  if (SeenOffers == State.Companions.getOfferChanges()) {
+    return;
+  }
+  SeenOffers = State.Companions.getOfferChanges();
+  std::erase_if(State.Oversized, [this](const oversized_job &Each) {
+    job *Job = State.Jobs.find(Each.Id);
+    if (Job == nullptr || Job->Phase != job_phase::Active) {
+      return true;
+    }
+    if (!State.Companions.mayFit(Job->Class,
+                                 Job->Tasks[Job->NextFresh].Needs)) {
+      return false;
+    }
+    State.Queue.add(*Job, Job->ExpectedRunTime);
+    return true;
+  });
+}
+
 void dispatcher::runRetries() {
   std::size_t Left = State.Retries.getCount();
   State.Retries.noteTime(State.now());
@@ -112,7 +132,7 @@
   const companion_index Companion =
       findCompanion({.Job = &Job, .Index = Job.NextFresh});
   if (Companion == NoCompanion) {
-    return false;
+    return setAsideOversized(Job);
   }
   if (!State.Teams.takeStart(Job.Team, State.now())) {
     State.Queue.park(Job);
@@ -125,6 +145,15 @@
   return true;
 }
 
+bool dispatcher::setAsideOversized(job &Job) {
+  if (State.Companions.mayFit(Job.Class, Job.Tasks[Job.NextFresh].Needs)) {
+    return false;
+  }
+  State.Queue.park(Job);
+  State.Oversized.push_back({.Id = Job.Id, .Since = State.now()});
+  return true;
+}
+
 companion_index dispatcher::findCompanion(const task_ref &Task) {
   const job &Job = *Task.Job;
   const auto MayTake = [&](companion_index Candidate) {
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -36,19 +36,25 @@
   };
 
   void admitReadyTeams();
+  /// Brings back the jobs that fit a companion again.
+  void admitFitting();
   void runRetries();
   bool placeRetry(const task_ref &Task);
   std::optional<choice> chooseOnTime() const;
   std::optional<choice> chooseLate() const;
   /// \returns false if no companion has room for the class of \p Choice.
   bool placeNext(const choice &Choice);
+  /// Takes a job out of the queue that would hold back its class for good.
+  /// \returns whether it did.
+  bool setAsideOversized(job &Job);
   companion_index findCompanion(const task_ref &Task);
   void place(const task_ref &Task, companion_index Companion, instant Due);
 
   entry_state &State;
   health &Health;
   std::unique_ptr<placement_policy> Policy;
-  std::vector<bool> Blocked; ///< Classes without room in the current run.
+  std::uint64_t SeenOffers = 0; ///< When admitFitting() last had to look.
+  std::vector<bool> Blocked;    ///< Classes without room in the current run.
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -26,6 +26,12 @@
   std::uint64_t Wasted = 0;
 };
 
+/// A job whose next task no companion could run even alone.
+struct oversized_job {
+  job_id Id;
+  instant Since;
+};
+
 /// The tables of one entry. The parts that decide work on them.
 struct entry_state {
   explicit entry_state(options Given);
@@ -37,6 +43,7 @@
   job_table Jobs;
   waiting_queue Queue;
   retry_list Retries;
+  std::vector<oversized_job> Oversized; ///< Taken out of the queue.
   companion_table Companions;
   configuration Configuration;
   std::vector<peer_address> Entries;
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -8,6 +8,8 @@
 
 // How long a task that was given back waits for another companion.
 constexpr duration RetryGrace = std::chrono::seconds(2);
+// How long a job waits for an endpoint that is large enough for it.
+constexpr duration RoomGrace = std::chrono::seconds(2);
 
 } // namespace
 
@@ -20,6 +22,7 @@
     checkLate(Class);
   }
   checkRetries();
+  checkOversized();
 }
 
 void waiting_check::demote(class_index Class) {
@@ -82,4 +85,23 @@
   }
 }
 
+void waiting_check::checkOversized() {
+  const std::vector<oversized_job> Copy = State.Oversized;
+  for (const oversized_job &Each : Copy) {
+    job *Job = State.Jobs.find(Each.Id);
+    if (Job == nullptr || Job->Phase != job_phase::Active ||
+        State.now() - Each.Since <= RoomGrace) {
+      continue;
+    }
+    Jobs.fail(*Job, {.Code = failure_code::NoEndpoint,
+                     .Reason = "No endpoint has the room that a task needs.",
+                     .RetryAfter = RoomGrace,
+                     .Task = Job->NextFresh});
+  }
+  std::erase_if(State.Oversized, [this](const oversized_job &Each) {
+    const job *Job = State.Jobs.find(Each.Id);
+    return Job == nullptr || Job->Phase != job_phase::Active;
+  });
+}
+
 } // namespace crocuswood::entry
--- a/packages/entry/src/waiting_check.h
+++ b/packages/entry/src/waiting_check.h
@@ -9,7 +9,7 @@
 namespace crocuswood::entry {
 
 /// Fails jobs taken as late that have waited too long, and jobs with a task
-/// that every companion has given back.
+/// that every companion has given back or is too small for.
 class waiting_check {
 public:
   waiting_check(entry_state &State, job_manager &Jobs, admission &Admission)
@@ -23,6 +23,7 @@
   void demote(class_index Class);
   void checkLate(class_index Class);
   void checkRetries();
+  void checkOversized();
   /// Lets companions that never received the task be tried again. \returns
   /// false if there is none.
   static bool forgetUnreceived(job &Job, std::uint32_t Index);
--- a/tests/entry/capacity_test.cpp
+++ b/tests/entry/capacity_test.cpp
@@ -46,6 +46,40 @@
   }
 };
 
+TEST(EntryCapacity, AJobThatFitsNowhereDoesNotHoldBackItsClass) {
+  submit({.MilliCores = 8'000});
+  const request_id Large = submit({.MilliCores = 8'000});
+  CHECK_EQUAL(1U, Entry.placed(A).size());
+  setCores(A, 4'000);
+  const request_id Small = submit({.MilliCores = 1'000});
+  Entry.complete(A, Entry.placed(A)[0]);
+  CHECK_EQUAL(2U, Entry.placed(A).size());
+  Entry.complete(A, Entry.placed(A)[1]);
+  CHECK_TRUE(Entry.isCompleted(Small));
+  CHECK_TRUE(Entry.answerOf(Large) == nullptr);
+}
+
+TEST(EntryCapacity, AJobThatFitsNowhereForAWhileIsRefused) {
+  submit({.MilliCores = 8'000});
+  const request_id Large = submit({.MilliCores = 8'000});
+  setCores(A, 4'000);
+  Entry.complete(A, Entry.placed(A)[0]);
+  pass(Grace + Beat);
+  CHECK_TRUE(Entry.isNotRun(Large, failure_code::NoEndpoint));
+}
+
+TEST(EntryCapacity, AJobRunsWhenTheRoomComesBackInTime) {
+  submit({.MilliCores = 8'000});
+  const request_id Large = submit({.MilliCores = 8'000});
+  setCores(A, 4'000);
+  Entry.complete(A, Entry.placed(A)[0]);
+  pass(Beat);
+  setCores(A, 8'000);
+  CHECK_EQUAL(2U, Entry.placed(A).size());
+  Entry.complete(A, Entry.placed(A)[1]);
+  CHECK_TRUE(Entry.isCompleted(Large));
+}
+
 TEST(EntryCapacity, AnEndpointWithoutRoomRunsNoClass) {
   setCores(A, 0);
   const request_id Waiting = submit({.MilliCores = 1'000});
