Refuse jobs that fit no endpoint when they are submitted

What callers saw: a job that asks for more processor, memory or accelerators than any endpoint of its class has is taken, and answered only much later.

Cause: a submission was compared with the limits of the entry and with whether the class has endpoints at all, not with the room of these.

Change: while endpoints run the class and none could run a task of the job even alone, the job is refused as having no endpoint, with a time to come again.

Test seen failing before: EntryCapacity.

--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -148,18 +148,6 @@
   return Job;
 }
 
-task_needs job_manager::needsOf(const task_request &Task,
-                                const class_spec &Class) const {
-  task_needs Needs = Task.Needs;
-  if (Needs.MemoryBytes == 0) {
-    Needs.MemoryBytes = Class.MemoryBytes;
-  }
-  if (Needs.Accelerators == 0) {
-    Needs.Accelerators = Class.Accelerators;
-  }
-  return Needs;
-}
-
 void job_manager::activate(job &Job) {
   work_class &Class = State.Classes[Job.Class];
   ++Class.Counters.Accepted;
--- a/packages/entry/src/job_manager.h
+++ b/packages/entry/src/job_manager.h
@@ -37,8 +37,6 @@
   /// Lets a job that arrives again take over the one that still runs.
   /// \returns whether the event needs nothing more.
   bool takeOver(const job_submitted &Event);
-  /// \returns what a task needs, with the class's needs filled in.
-  task_needs needsOf(const task_request &Task, const class_spec &Class) const;
   job &accept(const job_id &Id, job_submitted Event, std::uint64_t Digest);
   void activate(job &Job);
   void takeHeldClaim(job &Job, const claim_answered &Event);
--- a/packages/entry/src/submission_check.cpp
+++ b/packages/entry/src/submission_check.cpp
@@ -19,6 +19,17 @@
           .RetryAfter = RetryAfter};
 }
 
+task_needs needsOf(const task_request &Task, const class_spec &Class) {
+  task_needs Needs = Task.Needs;
+  if (Needs.MemoryBytes == 0) {
+    Needs.MemoryBytes = Class.MemoryBytes;
+  }
+  if (Needs.Accelerators == 0) {
+    Needs.Accelerators = Class.Accelerators;
+  }
+  return Needs;
+}
+
 std::optional<job_failure> submission_check::find(const job_request &Request) {
   auto Failure = findFault(Request);
   return Failure ? std::move(Failure) : findOverload(Request);
@@ -76,6 +87,10 @@
                   "No endpoint can run class '" + Request.Class + "'.",
                   EndpointGrace);
   }
+  if (isOversized(Class, Request)) {
+    return notRun(failure_code::NoEndpoint,
+                  "No endpoint has the room that a task needs.", EndpointGrace);
+  }
   const team_index Team = *State.Teams.find(Request.Team);
   const duration Wait = State.Teams.expectedWait(
       Team, static_cast<std::uint32_t>(Request.Tasks.size()));
@@ -92,6 +107,24 @@
          State.now() - RunnableAt[Class] > EndpointGrace;
 }
 
+bool submission_check::isOversized(class_index Class,
+                                   const job_request &Request) const {
+  const class_spec &Spec = State.Classes[Class].Spec;
+  std::optional<task_needs> Fitting;
+  for (const task_request &Task : Request.Tasks) {
+    const task_needs Needs = needsOf(Task, Spec);
+    // Tasks of one job mostly need the same.
+    if (Fitting == Needs) {
+      continue;
+    }
+    if (!State.Companions.mayFit(Class, Needs)) {
+      return true;
+    }
+    Fitting = Needs;
+  }
+  return false;
+}
+
 void submission_check::noteEndpoints() {
   RunnableAt.resize(State.Classes.getCount(), State.now());
   for (class_index Class = 0; Class < State.Classes.getCount(); ++Class) {
--- a/packages/entry/src/submission_check.h
+++ b/packages/entry/src/submission_check.h
@@ -17,6 +17,9 @@
 job_failure notRun(failure_code Code, std::string Reason,
                    std::optional<duration> RetryAfter = std::nullopt);
 
+/// \returns what \p Task needs, with the needs of its class filled in.
+task_needs needsOf(const task_request &Task, const class_spec &Class);
+
 /// Finds why a job can't be taken: its own faults, the state of the entry, and
 /// limits that have nothing to do with the target of its class.
 class submission_check {
@@ -33,6 +36,8 @@
 private:
   std::optional<job_failure> findFault(const job_request &Request) const;
   std::optional<job_failure> findOverload(const job_request &Request);
+  /// \returns whether no endpoint has what some task of \p Request needs.
+  bool isOversized(class_index Class, const job_request &Request) const;
 
   entry_state &State;
   std::vector<instant> RunnableAt; ///< By class: when it last had a runner.
--- a/tests/entry/capacity_test.cpp
+++ b/tests/entry/capacity_test.cpp
@@ -80,6 +80,19 @@
   CHECK_TRUE(Entry.isCompleted(Large));
 }
 
+TEST(EntryCapacity, AJobThatFitsNowhereIsRefusedAtItsSubmission) {
+  CHECK_TRUE(
+      Entry.isNotRun(submit({.MilliCores = 9'000}), failure_code::NoEndpoint));
+  CHECK_TRUE(Entry.isNotRun(submit({.MilliCores = 1, .MemoryBytes = 9'000}),
+                            failure_code::NoEndpoint));
+  CHECK_TRUE(
+      Entry.isNotRun(submit({.Accelerators = 1}), failure_code::NoEndpoint));
+  Entry.connect(B, "runner-b");
+  setCores(B, 9'000);
+  submit({.MilliCores = 9'000});
+  CHECK_EQUAL(1U, Entry.placed(B).size());
+}
+
 TEST(EntryCapacity, AnEndpointWithoutRoomRunsNoClass) {
   setCores(A, 0);
   const request_id Waiting = submit({.MilliCores = 1'000});
