Don't wait for endpoints that are too small for a task given back

What callers saw: a task that was given back and fits no endpoint any more waits to its deadline, or for good if it has none.

Cause: its job is ended once every endpoint of the class has given the task back. An endpoint that is too small for it is never asked, so that count is never complete.

Change: only endpoints that are large enough count as untried.

Test seen failing before: EntryCapacity.ATaskGivenBackThatFitsNowhereEndsItsJob (no answer).

--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -335,16 +335,21 @@
 }
 
 bool companion_table::hasUntried(const job &Job, std::uint32_t Index) const {
-  std::uint32_t Tried = 0;
-  for (const give_back &Each : Job.GivenBack) {
-    const companion_record &Record = Records[Each.Companion];
-    const bool IsRunner = Each.Task == Index &&
-                          Record.Id.Incarnation == Each.Incarnation &&
-                          std::binary_search(Record.Runnable.begin(),
-                                             Record.Runnable.end(), Job.Class);
-    Tried += IsRunner ? 1 : 0;
+  const task_needs &Needs = Job.Tasks[Index].Needs;
+  for (companion_index Each = 0; Each < Records.size(); ++Each) {
+    const companion_record &Record = Records[Each];
+    if (!runs(Record, Job.Class) || !isLargeEnough(Record.Endpoint, Needs)) {
+      continue;
+    }
+    const bool WasTried = std::any_of(
+        Job.GivenBack.begin(), Job.GivenBack.end(), [&](const give_back &Back) {
+          return Back.isOf(Index, Each, Record.Id.Incarnation);
+        });
+    if (!WasTried) {
+      return true;
+    }
   }
-  return Tried < countRunners(Job.Class);
+  return false;
 }
 
 std::uint32_t companion_table::countSlots(class_index Class) const {
--- a/packages/entry/src/companion_table.h
+++ b/packages/entry/src/companion_table.h
@@ -83,8 +83,8 @@
   bool mayFit(class_index Class, const task_needs &Needs) const;
   /// \returns a number that grows when any companion may offer more or less.
   std::uint64_t getOfferChanges() const { return OfferChanges; }
-  /// \returns whether any companion that can run the class of \p Job has not
-  /// given back its task \p Index yet.
+  /// \returns whether any companion that can run the class of \p Job, and is
+  /// large enough, has not given back its task \p Index yet.
   bool hasUntried(const job &Job, std::uint32_t Index) const;
   /// \returns slots or cores of the companions that may be given \p Class.
   std::uint32_t countSlots(class_index Class) const;
--- a/tests/entry/capacity_test.cpp
+++ b/tests/entry/capacity_test.cpp
@@ -104,3 +104,17 @@
   submit({});
   CHECK_EQUAL(1U, Entry.placed(A).size());
 }
+
+TEST(EntryCapacity, ATaskGivenBackThatFitsNowhereEndsItsJob) {
+  Entry.connect(B, "runner-b");
+  setCores(B, 4'000);
+  const request_id Large = submit({.MilliCores = 8'000});
+  setCores(A, 4'000);
+  Entry.end(A, Entry.placed(A)[0],
+            task_not_started{.Reason = not_started_reason::Unsupported});
+  for (duration Passed{}; Passed < Grace + Beat; Passed += Beat) {
+    Entry.receive(B, {companion_heartbeat{.ConfigurationRevision = 1}});
+    pass(Beat);
+  }
+  CHECK_TRUE(Entry.isNotRun(Large, failure_code::NoEndpoint));
+}
