Place a task again where the endpoint was too small for it

What callers saw: an endpoint shrinks and grows again within a second. Tasks that its companion gave back meanwhile are refused after two seconds, although the room is there.

Cause: a companion that has given a task back is not asked again.

Change: a give-back as unsupported ends like one of a placement that was lost: once all others have been tried, the companion may be tried again. The limit of attempts of a task still holds.

Test seen failing before: EntryCapacity. ATaskGivenBackAsTooLargeRunsWhenTheRoomComesBack (1 placement instead of 2).

--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -55,8 +55,9 @@
   std::uint32_t Task = 0;
   companion_index Companion = NoCompanion;
   incarnation Incarnation{};
-  bool Received = true; ///< False if the placement was lost on its way. Then
-                        ///< the companion may be tried again.
+  bool IsFinal = true; ///< False if the companion may be tried again: the
+                       ///< placement was lost on its way, or its endpoint was
+                       ///< too small then.
 
   bool isOf(std::uint32_t Index, companion_index Candidate,
             incarnation Life) const {
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -143,10 +143,12 @@
                     .Task = Task.Index});
     return;
   }
-  Job.GivenBack.push_back({.Task = Task.Index,
-                           .Companion = Companion,
-                           .Incarnation = Record.Id.Incarnation,
-                           .Received = Reason != not_started_reason::Unknown});
+  Job.GivenBack.push_back(
+      {.Task = Task.Index,
+       .Companion = Companion,
+       .Incarnation = Record.Id.Incarnation,
+       .IsFinal = Reason != not_started_reason::Unknown &&
+                  Reason != not_started_reason::Unsupported});
   if (++Task.get().Attempts >= MaxAttempts) {
     release(Task, task_state::NotStarted);
     Jobs.fail(Job, {.Code = failure_code::Overloaded,
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -59,9 +59,9 @@
   }
 }
 
-bool waiting_check::forgetUnreceived(job &Job, std::uint32_t Index) {
+bool waiting_check::forgetPassing(job &Job, std::uint32_t Index) {
   return std::erase_if(Job.GivenBack, [Index](const give_back &Each) {
-           return Each.Task == Index && !Each.Received;
+           return Each.Task == Index && !Each.IsFinal;
          }) > 0;
 }
 
@@ -74,7 +74,7 @@
     const task &Task = Job->Tasks[Id.Index];
     if (Task.State != task_state::Waiting ||
         State.Companions.hasUntried(*Job, Id.Index) ||
-        forgetUnreceived(*Job, Id.Index) ||
+        forgetPassing(*Job, Id.Index) ||
         State.now() - Task.PlacedAt <= RetryGrace) {
       continue;
     }
--- a/packages/entry/src/waiting_check.h
+++ b/packages/entry/src/waiting_check.h
@@ -24,9 +24,9 @@
   void checkLate(class_index Class);
   void checkRetries();
   void checkOversized();
-  /// Lets companions that never received the task be tried again. \returns
+  /// Lets companions whose give-back is not final be tried again. \returns
   /// false if there is none.
-  static bool forgetUnreceived(job &Job, std::uint32_t Index);
+  static bool forgetPassing(job &Job, std::uint32_t Index);
 
   entry_state &State;
   job_manager &Jobs;
--- a/tests/entry/capacity_test.cpp
+++ b/tests/entry/capacity_test.cpp
@@ -105,6 +105,19 @@
   CHECK_EQUAL(1U, Entry.placed(A).size());
 }
 
+TEST(EntryCapacity, ATaskGivenBackAsTooLargeRunsWhenTheRoomComesBack) {
+  const request_id Large = submit({.MilliCores = 8'000});
+  setCores(A, 4'000);
+  Entry.end(A, Entry.placed(A)[0],
+            task_not_started{.Reason = not_started_reason::Unsupported});
+  pass(Beat);
+  setCores(A, 8'000);
+  pass(Beat);
+  CHECK_EQUAL(2U, Entry.placed(A).size());
+  Entry.complete(A, Entry.placed(A)[1]);
+  CHECK_TRUE(Entry.isCompleted(Large));
+}
+
 TEST(EntryCapacity, ATaskGivenBackThatFitsNowhereEndsItsJob) {
   Entry.connect(B, "runner-b");
   setCores(B, 4'000);
