--- a/tests/site/formats_test.cpp
+++ b/tests/site/formats_test.cpp
@@ -57,6 +57,27 @@
   CHECK_TRUE(hasFault(parseHeartbeat("i-1", "\xff\xfe")));
 }
 
+// Guards against a runner without processor that is taken for one of which only
+// the slots count, and is given tasks by these.
+TEST(Formats, ARunnerWithoutProcessorHasNoRoom) {
+  const auto Parsed =
+      parseHeartbeat("i-1", replace(Heartbeat, "\"cpu\":16000", "\"cpu\":0"));
+  CHECK_FALSE(hasFault(Parsed));
+  const auto &Offer = std::get<runner_report>(Parsed).Announcement.Offer;
+  CHECK_EQUAL(0U, capacityOf(Offer));
+  CHECK_EQUAL(32'768ULL * 1024 * 1024, Offer.MemoryBytes);
+}
+
+TEST(Formats, AHeartbeatTellsEachSizeOfASmallerRunner) {
+  const auto Parsed = parseHeartbeat(
+      "i-1", replace(Heartbeat, R"({"cpu":16000,"mem_mb":32768,"gpu":0})",
+                     R"({"cpu":4000,"mem_mb":1024,"gpu":2})"));
+  const auto &Offer = std::get<runner_report>(Parsed).Announcement.Offer;
+  CHECK_EQUAL(4'000U, capacityOf(Offer));
+  CHECK_EQUAL(1'024ULL * 1024 * 1024, Offer.MemoryBytes);
+  CHECK_EQUAL(2U, Offer.Accelerators);
+}
+
 TEST(Formats, ADrainingRunnerLeaves) {
   const auto Parsed =
       parseHeartbeat("i-1", replace(Heartbeat, "ready", "draining"));
