--- a/tests/entry/capacity_test.cpp
+++ b/tests/entry/capacity_test.cpp
@@ -46,6 +46,8 @@
   }
 };
 
+// Guards against a job that fits no endpoint any more, which would stay the
+// most urgent of its class and hold back every job behind it.
 TEST(EntryCapacity, AJobThatFitsNowhereDoesNotHoldBackItsClass) {
   submit({.MilliCores = 8'000});
   const request_id Large = submit({.MilliCores = 8'000});
@@ -59,6 +61,7 @@
   CHECK_TRUE(Entry.answerOf(Large) == nullptr);
 }
 
+// Guards against callers who wait to the end for room that has gone.
 TEST(EntryCapacity, AJobThatFitsNowhereForAWhileIsRefused) {
   submit({.MilliCores = 8'000});
   const request_id Large = submit({.MilliCores = 8'000});
@@ -93,6 +96,8 @@
   CHECK_EQUAL(1U, Entry.placed(B).size());
 }
 
+// Guards against an endpoint without room that is taken for one that can run
+// every class, so that jobs wait for it without end.
 TEST(EntryCapacity, AnEndpointWithoutRoomRunsNoClass) {
   setCores(A, 0);
   const request_id Waiting = submit({.MilliCores = 1'000});
@@ -105,6 +110,8 @@
   CHECK_EQUAL(1U, Entry.placed(A).size());
 }
 
+// Guards against a task that an endpoint gave back while it was too small, and
+// that never goes there again.
 TEST(EntryCapacity, ATaskGivenBackAsTooLargeRunsWhenTheRoomComesBack) {
   const request_id Large = submit({.MilliCores = 8'000});
   setCores(A, 4'000);
@@ -118,6 +125,8 @@
   CHECK_TRUE(Entry.isCompleted(Large));
 }
 
+// Guards against a task that was given back and waits to the end, since an
+// endpoint that is too small for it was never tried.
 TEST(EntryCapacity, ATaskGivenBackThatFitsNowhereEndsItsJob) {
   Entry.connect(B, "runner-b");
   setCores(B, 4'000);
@@ -131,3 +140,39 @@
   }
   CHECK_TRUE(Entry.isNotRun(Large, failure_code::NoEndpoint));
 }
+
+// Guards against jobs that are admitted by the room that there was.
+TEST(EntryCapacity, AdmissionCountsTheSmallerRoomAndThenTheLargerOne) {
+  // Without a limit on refusals, every job that would be late is refused.
+  configuration Strict = entry_harness::defaultConfiguration(2);
+  Strict.Classes["slow"].RefuseAtMost = 1;
+  Entry.handle(configuration_read{Strict});
+  const auto CountAccepted = [this] {
+    std::size_t Accepted = 0;
+    for (int Each = 0; Each < 400; ++Each) {
+      Accepted += Entry.answerOf(submit({.MilliCores = 1'000})) == nullptr;
+    }
+    return Accepted;
+  };
+  const auto Drain = [this] {
+    for (std::size_t Done = 0; Done < Entry.placed(A).size(); ++Done) {
+      Entry.complete(A, Entry.placed(A)[Done]);
+    }
+    Entry.clear();
+  };
+  // The first runs teach the run time of the class.
+  CountAccepted();
+  Drain();
+  pass(Beat);
+  const std::size_t Before = CountAccepted();
+  Drain();
+  setCores(A, 1'000);
+  pass(Beat);
+  const std::size_t Shrunk = CountAccepted();
+  Drain();
+  setCores(A, 8'000);
+  pass(Beat);
+  const std::size_t Grown = CountAccepted();
+  CHECK_TRUE(Shrunk * 2 < Before);
+  CHECK_TRUE(Grown > Shrunk * 2);
+}
