--- a/tests/site/formats_test.cpp
+++ b/tests/site/formats_test.cpp
@@ -78,6 +78,24 @@
   CHECK_EQUAL(2U, Offer.Accelerators);
 }
 
+// Guards against a size that is taken for zero, or for far more than there is,
+// because another writer left it out or wrote it in another type.
+TEST(Formats, SizesThatAreMissingOrOfAnotherTypeAreFaults) {
+  for (const char *Sizes :
+       {R"({"cpu":16000,"mem_mb":32768})", R"({"cpu":16000,"gpu":0})",
+        R"({"mem_mb":32768,"gpu":0})", R"({"cpu":"1","mem_mb":1,"gpu":0})",
+        R"({"cpu":1.5,"mem_mb":1,"gpu":0})",
+        R"({"cpu":1,"mem_mb":true,"gpu":0})",
+        R"({"cpu":1,"mem_mb":1,"gpu":null})",
+        R"({"cpu":5000000000,"mem_mb":1,"gpu":0})",
+        R"({"cpu":1,"mem_mb":18446744073709551615,"gpu":0})",
+        R"({"cpu":1,"mem_mb":1,"gpu":-1})", R"([16000,32768,0])", "null"}) {
+    CHECK_TRUE(hasFault(parseHeartbeat(
+        "i-1",
+        replace(Heartbeat, R"({"cpu":16000,"mem_mb":32768,"gpu":0})", Sizes))));
+  }
+}
+
 TEST(Formats, ADrainingRunnerLeaves) {
   const auto Parsed =
       parseHeartbeat("i-1", replace(Heartbeat, "ready", "draining"));
