Count runs anew when an endpoint counts processor instead of slots

What callers saw: tasks that run while an endpoint counts slots take the room of one slot each. When it begins to count processor, they count as one core each, whatever they need, and starts go over its capacity. The reverse holds starts back.

Cause: the room of a run is fixed at its start, in the unit of that time.

Change: when the unit changes, the rooms of all runs are taken anew from their needs. While the unit stays, runs keep the room that they were given, also through a time without room.

Test seen failing before: CompanionCapacity. RunsAreCountedAnewWhenProcessorCountsInsteadOfSlots (2000 in use, 6000 needed).

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -233,6 +233,7 @@
     // What was confirmed was an earlier report.
     Peer.LeavingSeen = false;
   }
+  Desk.recountRuns();
   const endpoint_report Report = Endpoint.getReport();
   broadcast(Report);
   if (Report.State != endpoint_state::Serving) {
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -297,6 +297,20 @@
   }
 }
 
+void task_desk::recountRuns() {
+  const endpoint_report Report = Endpoint.getReport();
+  const bool Counts = Report.MilliCores > 0;
+  if (Counts == CountsProcessor || capacityOf(Report) == 0) {
+    return;
+  }
+  CountsProcessor = Counts;
+  UsedRoom = 0;
+  for (auto &[Task, Run] : Running) {
+    Run.Room = roomFor(Report, Run.Needs);
+    UsedRoom += Run.Room;
+  }
+}
+
 void task_desk::giveBackUnsupported(const step &Step) {
   const auto Unsupported = Queue.listTasks(
       [this](const queued_task &Each) { return !isSupported(Each.Placement); });
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -56,6 +56,9 @@
   void giveBackExpired(const step &Step);
   /// Gives all queued tasks back.
   void giveBackQueued(const step &Step, not_started_reason Reason);
+  /// Counts the room of what runs anew if the endpoint has begun to count
+  /// processor instead of slots, or the reverse.
+  void recountRuns();
   /// Gives back queued tasks that the endpoint can't run any more, even alone.
   void giveBackUnsupported(const step &Step);
   /// Stops everything of an entry whose lease has ended, and gives back what
@@ -132,6 +135,7 @@
   std::uint64_t UsedMemoryBytes = 0;
   std::uint32_t UsedAccelerators = 0;
   std::uint32_t UsedRoom = 0;
+  bool CountsProcessor = false; ///< What UsedRoom counts, or else slots.
   std::uint64_t Started = 0;
   companion_load Load;
 };
--- a/tests/companion/capacity_test.cpp
+++ b/tests/companion/capacity_test.cpp
@@ -224,3 +224,26 @@
   CHECK_TRUE(isStarted(4));
   CHECK_EQUAL(1'000U, Driver.Core.getStatus().Load.UsedRoom);
 }
+
+// Guards against rooms of slots and of processor that are added up when an
+// endpoint changes from one to the other.
+TEST(CompanionCapacity, RunsAreCountedAnewWhenProcessorCountsInsteadOfSlots) {
+  endpoint_report Offer = withCores(0);
+  announce(Offer);
+  Link = Driver.linkA();
+  Driver.receive(Link, makeCores(1, 3'000));
+  Driver.receive(Link, makeCores(2, 3'000));
+  CHECK_EQUAL(2'000U, Driver.Core.getStatus().Load.UsedRoom);
+  Offer.MilliCores = 7'000;
+  announce(Offer);
+  CHECK_EQUAL(6'000U, Driver.Core.getStatus().Load.UsedRoom);
+  Driver.receive(Link, makeCores(3, 3'000));
+  CHECK_FALSE(isStarted(3));
+  Offer.MilliCores = 0;
+  announce(Offer);
+  CHECK_EQUAL(3'000U, Driver.Core.getStatus().Load.UsedRoom);
+  Driver.feed(run_completed{.Task = makeTask(1)});
+  Driver.feed(run_completed{.Task = makeTask(2)});
+  Driver.feed(run_completed{.Task = makeTask(3)});
+  CHECK_EQUAL(0U, Driver.Core.getStatus().Load.UsedRoom);
+}
