--- a/tests/runs/fake_runner.cpp
+++ b/tests/runs/fake_runner.cpp
@@ -7,13 +7,24 @@
 void fake_runner::end(const run_id &Run, run_result Result) {
   Active.erase(Run);
   CompletesAt.erase(Run);
+  StopsAt.erase(Run);
   auto &Highest = Barred[{Run.Job, Run.Task}];
   Highest = std::max(Highest, Run.Attempt);
   Ended.push_back({.Number = ++LastNumber, .Run = Run, .Result = Result});
 }
 
+void fake_runner::endStopped() {
+  const std::map<run_id, instant> Stopping = StopsAt;
+  for (const auto &[Run, At] : Stopping) {
+    if (At <= Now) {
+      end(Run, run_result::Stopped);
+    }
+  }
+}
+
 void fake_runner::pass(instant Time) {
   Now = Time;
+  endStopped();
   std::vector<run_id> Completed;
   for (const auto &[Run, At] : CompletesAt) {
     if (At <= std::min(Now, LeaseUntil)) {
@@ -54,8 +65,9 @@
   auto &Highest = Barred[{Run.Job, Run.Task}];
   Highest = std::max(Highest, Run.Attempt);
   if (Active.contains(Run)) {
-    end(Run, run_result::Stopped);
+    StopsAt.emplace(Run, Now + StopTime);
   }
+  endStopped();
   return {.Status = order_status::Done};
 }
 
@@ -75,6 +87,7 @@
   ++Life;
   Active.clear();
   CompletesAt.clear();
+  StopsAt.clear();
   Barred.clear();
   Ended.clear();
   LastNumber = 0;
--- a/tests/runs/fake_runner.h
+++ b/tests/runs/fake_runner.h
@@ -27,6 +27,8 @@
   void restart();
 
   void setRunTime(duration Span) { RunTime = Span; }
+  /// How long a stopped run goes on.
+  void setStopTime(duration Span) { StopTime = Span; }
   const std::set<run_id> &getActive() const { return Active; }
   std::string getLife() const { return std::to_string(Life); }
   /// \returns whether two runs of one task have ever gone on together.
@@ -34,13 +36,17 @@
 
 private:
   void end(const run_id &Run, run_result Result);
+  /// Ends the runs that were stopped StopTime ago.
+  void endStopped();
 
   instant Now;
   std::uint64_t Life = 1;
   instant LeaseUntil;
   duration RunTime = std::chrono::milliseconds(100);
+  duration StopTime{};
   std::set<run_id> Active;
   std::map<run_id, instant> CompletesAt;
+  std::map<run_id, instant> StopsAt;
   /// Highest attempt that was stopped or has ended, by job and task.
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> Barred;
   std::vector<listed_end> Ended;
