--- /dev/null
+++ b/tests/site/runner_test.cpp
@@ -0,0 +1,135 @@
+// Heartbeats over a loopback connection: which of them count.
+#include <crocuswood/http.h>
+#include <crocuswood/site.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::site;
+
+namespace {
+
+constexpr duration Limit = std::chrono::seconds(10);
+
+std::string makeBeat(std::uint64_t Born, std::uint64_t Sequence,
+                     std::uint32_t MilliCores) {
+  return R"({"service":"s","addr":"10.0.0.9:80","slots":8,"state":"ready",)"
+         R"("capacity":{"cpu":)" +
+         std::to_string(MilliCores) + R"(,"mem_mb":64,"gpu":0},"born":)" +
+         std::to_string(Born) + R"(,"call_seq":)" + std::to_string(Sequence) +
+         "}";
+}
+
+} // namespace
+
+TEST_GROUP(RunnerHeartbeats) {
+  void setup() override {
+    const auto Lists = Orders.listen({.Host = "127.0.0.1"});
+    Runner = std::make_unique<runner>(
+        Context,
+        peer_address{.Host = "127.0.0.1",
+                     .Port = std::get<std::uint16_t>(Lists)},
+        [this](const companion::endpoint_announcement &Announcement) {
+          Announced.push_back(Announcement);
+        });
+    const auto Port = Runner->listen({.Host = "127.0.0.1"});
+    Beats = {.Host = "127.0.0.1", .Port = std::get<std::uint16_t>(Port)};
+  }
+  void runUntil(const bool &IsDone) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (!IsDone && std::chrono::steady_clock::now() < End) {
+      Context.run_one_for(std::chrono::milliseconds(100));
+    }
+    CHECK_TRUE(IsDone);
+  }
+  /// Sends a heartbeat. \returns the status of the answer.
+  unsigned beat(const std::string &Id, const std::string &Body) {
+    unsigned Status = 0;
+    bool IsDone = false;
+    Client.send(Beats,
+                {.Method = "POST",
+                 .Path = "/instances/" + Id + "/heartbeat",
+                 .Body = Body},
+                [&](const http::plain_reply &Reply) {
+                  Status = Reply.Response.Status;
+                  IsDone = true;
+                });
+    runUntil(IsDone);
+    return Status;
+  }
+  /// Lists the runs of a runner that was born at \p Born.
+  void list(std::uint64_t Born) {
+    ListBody = R"({"clock_ms":1,"active":[],"ended_runs":[],"born":)" +
+               std::to_string(Born) + "}";
+    bool IsDone = false;
+    Runner->list({}, [&](const std::optional<run_list> &List) {
+      CHECK_TRUE(List.has_value());
+      IsDone = true;
+    });
+    runUntil(IsDone);
+  }
+  std::uint32_t getCores() const { return Announced.back().Offer.MilliCores; }
+
+  boost::asio::io_context Context;
+  std::string ListBody;
+  http::plain_server Orders{Context,
+                            {},
+                            [this](const http::plain_request & /*Request*/,
+                                   const http::plain_server::respond &Respond) {
+                              Respond({.Body = ListBody});
+                            }};
+  http::plain_client Client{Context, 1, Limit};
+  std::vector<companion::endpoint_announcement> Announced;
+  std::unique_ptr<runner> Runner;
+  peer_address Beats;
+};
+
+// Guards against a heartbeat that was held up and tells of room that has gone.
+TEST(RunnerHeartbeats, AnOlderOneOfTheSameLifeChangesNothing) {
+  beat("i-1", makeBeat(7, 3, 4'000));
+  CHECK_EQUAL(200U, beat("i-1", makeBeat(7, 2, 8'000)));
+  CHECK_EQUAL(1U, Announced.size());
+  CHECK_EQUAL(4'000U, getCores());
+  beat("i-1", makeBeat(7, 4, 8'000));
+  CHECK_EQUAL(8'000U, getCores());
+}
+
+TEST(RunnerHeartbeats, OneWithoutItsSizesChangesNothing) {
+  beat("i-1", makeBeat(7, 3, 4'000));
+  std::string Other = makeBeat(7, 4, 8'000);
+  Other.replace(Other.find("\"gpu\""), 5, "\"gxu\"");
+  CHECK_EQUAL(400U, beat("i-1", Other));
+  CHECK_EQUAL(1U, Announced.size());
+}
+
+// Guards against a heartbeat of a runner that has crashed, delivered after its
+// successor's, which would bring back its room and end the successor's runs.
+TEST(RunnerHeartbeats, OneOfAnEarlierLifeChangesNothing) {
+  beat("i-1", makeBeat(7, 90, 8'000));
+  beat("i-2", makeBeat(900, 1, 4'000));
+  list(900);
+  CHECK_EQUAL(200U, beat("i-1", makeBeat(7, 91, 8'000)));
+  CHECK_EQUAL(200U, beat("i-2", makeBeat(7, 92, 8'000)));
+  CHECK_EQUAL(2U, Announced.size());
+  CHECK_EQUAL(4'000U, getCores());
+}
+
+// Guards against a runner that is never taken since the time of day went back
+// before it started.
+TEST(RunnerHeartbeats, ASuccessorWithAnEarlierTimeCountsOnceItIsListed) {
+  beat("i-1", makeBeat(9'000, 90, 8'000));
+  list(9'000);
+  beat("i-1", makeBeat(7'000, 1, 4'000));
+  list(7'000);
+  CHECK_EQUAL(4'000U, getCores());
+  beat("i-1", makeBeat(7'000, 2, 2'000));
+  CHECK_EQUAL(2'000U, getCores());
+}
