Let every task take some room where processor counts

What callers saw: an endpoint whose processor has shrunk below a thousandth of a core for each slot takes any number of tasks that name no need.

Cause: such a task takes the share of one slot, which rounds down to 0.

Change: it takes one thousandth of a core at least.

Test seen failing before: CompanionCapacity. ATaskWithoutNeedsTakesRoomOfTheSmallestEndpoint (10 starts, 5 fit).

--- a/packages/model/src/peer_message.cpp
+++ b/packages/model/src/peer_message.cpp
@@ -34,7 +34,7 @@
   }
   return Needs.MilliCores > 0
              ? Needs.MilliCores
-             : Endpoint.MilliCores / std::max(1U, Endpoint.Slots);
+             : std::max(1U, Endpoint.MilliCores / std::max(1U, Endpoint.Slots));
 }
 
 } // namespace crocuswood
--- a/tests/companion/capacity_test.cpp
+++ b/tests/companion/capacity_test.cpp
@@ -247,3 +247,14 @@
   Driver.feed(run_completed{.Task = makeTask(3)});
   CHECK_EQUAL(0U, Driver.Core.getStatus().Load.UsedRoom);
 }
+
+// Guards against tasks that name no need and take no room at all where a share
+// of a slot rounds down to nothing.
+TEST(CompanionCapacity, ATaskWithoutNeedsTakesRoomOfTheSmallestEndpoint) {
+  announce(withCores(5));
+  Link = Driver.linkA();
+  for (std::uint64_t Sequence = 1; Sequence <= 10; ++Sequence) {
+    Driver.receive(Link, makeCores(Sequence, 0));
+  }
+  CHECK_EQUAL(5U, Driver.countStarts());
+}
