--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -191,6 +191,8 @@
   Configuration = std::move(Value);
   Event.Kind = event_kind::ConfigurationInForce;
   Step.record(std::move(Event));
+  // Its classes may need more than before.
+  Desk.giveBackUnsupported(Step);
   // Entries that hear of it do not send it.
   broadcast(makeHeartbeat());
 }
@@ -231,10 +233,13 @@
     // What was confirmed was an earlier report.
     Peer.LeavingSeen = false;
   }
+  Desk.recountRuns();
   const endpoint_report Report = Endpoint.getReport();
   broadcast(Report);
   if (Report.State != endpoint_state::Serving) {
     Desk.giveBackQueued(Step, Reason);
+  } else {
+    Desk.giveBackUnsupported(Step);
   }
 }
 
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -56,6 +56,11 @@
   void giveBackExpired(const step &Step);
   /// Gives all queued tasks back.
   void giveBackQueued(const step &Step, not_started_reason Reason);
+  /// Counts the room of what runs anew if the endpoint has begun to count
+  /// processor instead of slots, or the reverse.
+  void recountRuns();
+  /// Gives back queued tasks that the endpoint can't run any more, even alone.
+  void giveBackUnsupported(const step &Step);
   /// Stops everything of an entry whose lease has ended, and gives back what
   /// has been queued for longer than a lease. The rest waits for a new one.
   void endLease(const step &Step, const entry_peer &Peer);
@@ -97,6 +102,8 @@
 
   std::optional<ended_run> takeRunning(const step &Step, const task_id &Task);
   std::optional<not_started_reason> findRefusal(const place_task &Task) const;
+  /// \returns whether the endpoint could run \p Task while it runs nothing.
+  bool isSupported(const place_task &Task) const;
   void answerDuplicate(const step &Step, entry_peer &Peer, const task_id &Task,
                        task_memory Memory);
   void resumeTask(const step &Step, entry_peer &Peer, const task_id &Task,
@@ -128,6 +135,7 @@
   std::uint64_t UsedMemoryBytes = 0;
   std::uint32_t UsedAccelerators = 0;
   std::uint32_t UsedRoom = 0;
+  bool CountsProcessor = false; ///< What UsedRoom counts, or else slots.
   std::uint64_t Started = 0;
   companion_load Load;
 };
--- a/packages/entry/src/waiting_check.cpp
+++ b/packages/entry/src/waiting_check.cpp
@@ -8,6 +8,8 @@
 
 // How long a task that was given back waits for another companion.
 constexpr duration RetryGrace = std::chrono::seconds(2);
+// How long a job waits for an endpoint that is large enough for it.
+constexpr duration RoomGrace = std::chrono::seconds(2);
 
 } // namespace
 
@@ -20,6 +22,7 @@
     checkLate(Class);
   }
   checkRetries();
+  checkOversized();
 }
 
 void waiting_check::demote(class_index Class) {
@@ -56,9 +59,9 @@
   }
 }
 
-bool waiting_check::forgetUnreceived(job &Job, std::uint32_t Index) {
+bool waiting_check::forgetPassing(job &Job, std::uint32_t Index) {
   return std::erase_if(Job.GivenBack, [Index](const give_back &Each) {
-           return Each.Task == Index && !Each.Received;
+           return Each.Task == Index && !Each.IsFinal;
          }) > 0;
 }
 
@@ -71,7 +74,7 @@
     const task &Task = Job->Tasks[Id.Index];
     if (Task.State != task_state::Waiting ||
         State.Companions.hasUntried(*Job, Id.Index) ||
-        forgetUnreceived(*Job, Id.Index) ||
+        forgetPassing(*Job, Id.Index) ||
         State.now() - Task.PlacedAt <= RetryGrace) {
       continue;
     }
@@ -82,4 +85,23 @@
   }
 }
 
+void waiting_check::checkOversized() {
+  const std::vector<oversized_job> Copy = State.Oversized;
+  for (const oversized_job &Each : Copy) {
+    job *Job = State.Jobs.find(Each.Id);
+    if (Job == nullptr || Job->Phase != job_phase::Active ||
+        State.now() - Each.Since <= RoomGrace) {
+      continue;
+    }
+    Jobs.fail(*Job, {.Code = failure_code::NoEndpoint,
+                     .Reason = "No endpoint has the room that a task needs.",
+                     .RetryAfter = RoomGrace,
+                     .Task = Job->NextFresh});
+  }
+  std::erase_if(State.Oversized, [this](const oversized_job &Each) {
+    const job *Job = State.Jobs.find(Each.Id);
+    return Job == nullptr || Job->Phase != job_phase::Active;
+  });
+}
+
 } // namespace crocuswood::entry
--- a/packages/entry/src/waiting_check.h
+++ b/packages/entry/src/waiting_check.h
@@ -9,7 +9,7 @@
 namespace crocuswood::entry {
 
 /// Fails jobs taken as late that have waited too long, and jobs with a task
-/// that every companion has given back.
+/// that every companion has given back or is too small for.
 class waiting_check {
 public:
   waiting_check(entry_state &State, job_manager &Jobs, admission &Admission)
@@ -23,9 +23,10 @@
   void demote(class_index Class);
   void checkLate(class_index Class);
   void checkRetries();
-  /// Lets companions that never received the task be tried again. \returns
+  void checkOversized();
+  /// Lets companions whose give-back is not final be tried again. \returns
   /// false if there is none.
-  static bool forgetUnreceived(job &Job, std::uint32_t Index);
+  static bool forgetPassing(job &Job, std::uint32_t Index);
 
   entry_state &State;
   job_manager &Jobs;
