Answer pipelined requests that a stop or overload finds behind an answer

Callers saw: of two requests on one connection the second gets no answer beside a stop or while callers are sent elsewhere, though it was sent before the answer that says 'Connection: close'; it may even run.

Whether an answer is the last one was decided by what had been read, and what was read while it was written was still taken as a request, then given up.

Change: an answer isn't the last while input lies unread, and nothing behind the last one is taken. Why it works: a request is either read and answered, or never taken, as Connection: close tells.

Tests, both seen failing before: CallerFront.AnUnreadRequestBehindAnAnswerIs- TakenDuringAStop, NoJobIsTakenBehindAFinalAnswer.

--- a/packages/http/src/server_connection.cpp
+++ b/packages/http/src/server_connection.cpp
@@ -339,6 +339,8 @@
     Output += ContinueLine;
   } else {
     FinalAnswer = closesAfter(Slot);
+    // What comes behind a final answer is never taken.
+    InputEnded = InputEnded || FinalAnswer;
     appendMessage(Output, std::move(*Slot.Response), !FinalAnswer);
   }
   Slots.pop_front();
@@ -442,12 +444,12 @@
   return Error != asio::error::would_block;
 }
 
-bool server_connection::closesAfter(const slot &Slot) const {
+bool server_connection::closesAfter(const slot &Slot) {
   if (!Slot.KeepAlive) {
     return true;
   }
   return (State.Stopping || State.Steering) && Slots.size() == 1 && !Parser &&
-         Input.size() == 0;
+         Input.size() == 0 && !hasUnreadInput();
 }
 
 } // namespace crocuswood::http
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -114,7 +114,7 @@
   void linger();
   bool isIdle() const;
   bool hasUnreadInput();
-  bool closesAfter(const slot &Slot) const;
+  bool closesAfter(const slot &Slot);
 
   tcp::socket Socket;
   server_state &State;
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -273,6 +273,41 @@
   CHECK_EQUAL(0U, Events.Jobs.size());
 }
 
+// Guards against the loss of a pipelined request that lies unread in the socket
+// when the answer before it is written during a stop.
+TEST(CallerFront, AnUnreadRequestBehindAnAnswerIsTakenDuringAStop) {
+  start();
+  raw_connection Caller(Context, Port);
+  Caller.send(submission("1"));
+  CHECK_TRUE(waitForJobs(1));
+  settle(Context);
+  Front->announceStop();
+  Caller.send(submission("2"));
+  answerEcho(0);
+  CHECK_TRUE(waitForJobs(2));
+  answerEcho(1);
+  CHECK_TRUE(Caller.waitFor("[2]"));
+  CHECK_TRUE(Caller.waitFor("Connection: close"));
+  CHECK_TRUE(Caller.waitClosed());
+}
+
+// Guards against a job that is taken from behind a final answer, run, and never
+// answered.
+TEST(CallerFront, NoJobIsTakenBehindAFinalAnswer) {
+  start();
+  raw_connection Caller(Context, Port);
+  // The answer does not fit into the buffers of the connection.
+  Caller.send(submission('"' + std::string(6'000'000, 'x') + '"'));
+  CHECK_TRUE(waitForJobs(1));
+  settle(Context);
+  Front->announceStop();
+  answerEcho(0);
+  Caller.send(submission("2"));
+  CHECK_TRUE(Caller.waitClosed());
+  CHECK_EQUAL(1U, Events.Jobs.size());
+  CHECK_TRUE(Events.Cancelled.empty());
+}
+
 // Guards against the loss of a whole request on a connection that reaches its
 // idle limit, without any stop.
 TEST(CallerFront, ARequestThatCrossesTheIdleLimitIsRefused) {
