Let a drain wait for connections whose acceptance is still to be reported

A drain that is asked for while the last open connection ends and another one is being accepted could report its end with that connection open, and the end of the process would cut it.

Cause: the drain counted as asked for before the queued reports had been taken.

Change: it counts from the same posted step that looks at the connections. Test CallerFront.ADrainWaitsForAConnectionThatIsBeingAccepted; it passes without the change as well, since the order of the reports can't be forced from outside, and guards the waiting only.

--- a/packages/http/src/connection_server.cpp
+++ b/packages/http/src/connection_server.cpp
@@ -81,10 +81,10 @@
 void connection_server::drain(std::function<void()> Done) {
   stopAccepting();
   State.Draining = true;
-  DrainDone = std::move(Done);
   // Connections whose acceptance has not been reported yet come first.
-  asio::post(Context, [this, Alive = Alive] {
+  asio::post(Context, [this, Alive = Alive, Done = std::move(Done)]() mutable {
     if (*Alive) {
+      DrainDone = std::move(Done);
       closeIdle();
       finishDrain();
     }
--- a/tests/http/caller_front_test.cpp
+++ b/tests/http/caller_front_test.cpp
@@ -382,6 +382,30 @@
   CHECK_TRUE(Second.waitFor("\"error\":\"stopping\""));
 }
 
+// Guards against a drain that ends beside a connection that is still being
+// accepted, whose request the end of the process would then cut.
+TEST(CallerFront, ADrainWaitsForAConnectionThatIsBeingAccepted) {
+  start();
+  auto Leaving = std::make_unique<raw_connection>(Context, Port);
+  settle(Context);
+  raw_connection Arriving(Context, Port);
+  raw_connection Later(Context, Port);
+  Leaving->close();
+  bool Drained = false;
+  bool WasOpen = false;
+  Front->stopAccepting();
+  Front->drain([&] {
+    Drained = true;
+    WasOpen = Front->getConnections() > 0;
+  });
+  CHECK_TRUE(Arriving.waitFor("not_run"));
+  CHECK_TRUE(Later.waitFor("not_run"));
+  Arriving.close();
+  Later.close();
+  CHECK_TRUE(runUntil(Context, [&] { return Drained; }));
+  CHECK_FALSE(WasOpen);
+}
+
 TEST(CallerFront, AnswerWithinTheSubmissionIsWritten) {
   start();
   Events.OnSubmit = [this](request_id Request, const job_request &Job) {
