Let companions tell entries under which tasks endpoints have crashed

The message of the link protocol, without a sender or a reader yet: the tasks by their names towards endpoints, so that a count outlives the entry that placed them, and the greatest number of all reports. A placement carries what its entry knows. Version 4 of the protocol.

--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -22,7 +22,7 @@
 
 /// Version of the messages below. Peers with different versions refuse the
 /// link.
-constexpr std::uint32_t PeerProtocolVersion = 3;
+constexpr std::uint32_t PeerProtocolVersion = 4;
 
 /// How a peer process is reached.
 struct peer_address {
@@ -202,6 +202,9 @@
   /// A run that lasts longer is stopped, since another endpoint is likely to be
   /// faster.
   std::optional<duration> RunLimit;
+  /// Endpoints that crashed under earlier starts of the task, as far as the
+  /// entry knows.
+  std::uint32_t Crashes = 0;
 
   friend bool operator==(const place_task &, const place_task &) = default;
 };
@@ -327,12 +330,33 @@
   friend bool operator==(const load_report &, const load_report &) = default;
 };
 
+/// A task under which endpoints have crashed. The names are those towards
+/// endpoints, so that they outlive an entry and a resubmission.
+struct crashed_task {
+  std::string RunName;
+  std::uint32_t Index = 0; ///< Within its job.
+  std::string Class;
+  /// Endpoints that have crashed, earlier ones included. Of several reports of
+  /// one task the greatest number holds.
+  std::uint32_t Crashes = 0;
+
+  friend bool operator==(const crashed_task &, const crashed_task &) = default;
+};
+
+/// The companion's endpoint has crashed under these tasks. Repeated on new
+/// links, for entries that have started since.
+struct crash_report {
+  std::vector<crashed_task> Tasks;
+
+  friend bool operator==(const crash_report &, const crash_report &) = default;
+};
+
 using peer_message =
     std::variant<companion_hello, entry_hello, companion_heartbeat,
                  entry_heartbeat, entry_list, configuration_push,
                  endpoint_report, place_task, task_ended, withdraw_tasks,
                  acknowledge_ends, resume_request, resume_reply, load_report,
-                 lease_request, lease_grant>;
+                 lease_request, lease_grant, crash_report>;
 
 /// Several messages written together, with the sender's hybrid time.
 struct peer_envelope {
--- a/packages/wire/src/schema.h
+++ b/packages/wire/src/schema.h
@@ -141,7 +141,7 @@
       &place_task::Slack, &place_task::ExpectedRunTime, &place_task::Deadline,
       &place_task::Backlog, &place_task::Needs, &place_task::Pool,
       &place_task::RunName, &place_task::Attempt, &place_task::Priority,
-      &place_task::RunLimit);
+      &place_task::RunLimit, &place_task::Crashes);
 };
 
 template <> struct schema<task_completed> {
@@ -197,6 +197,16 @@
   static constexpr auto Members = std::make_tuple(&load_report::Load);
 };
 
+template <> struct schema<crashed_task> {
+  static constexpr auto Members =
+      std::make_tuple(&crashed_task::RunName, &crashed_task::Index,
+                      &crashed_task::Class, &crashed_task::Crashes);
+};
+
+template <> struct schema<crash_report> {
+  static constexpr auto Members = std::make_tuple(&crash_report::Tasks);
+};
+
 template <> struct schema<peer_envelope> {
   static constexpr auto Members =
       std::make_tuple(&peer_envelope::Sent, &peer_envelope::Messages);
--- a/tests/wire/sample_messages.h
+++ b/tests/wire/sample_messages.h
@@ -128,6 +128,10 @@
           load_report{.Load = makeLoad()},
           lease_request{.At = std::chrono::seconds(70)},
           lease_grant{.At = std::chrono::seconds(69)},
+          crash_report{.Tasks = {{.RunName = "5c0e7a21d94b36f8",
+                                  .Index = 17,
+                                  .Class = "pivot-check",
+                                  .Crashes = 2}}},
       }};
 }
 
