Count the crashes of an endpoint under its tasks

Cause: nothing counted crashes. The companion saw another life of its endpoint and reported ends of runs that look like any other; a start whose answer never came was reported as never begun; runs that had been reported as ended with their lease were forgotten by then.

Change: the supervisor tells endpoint_crashed with all that was on the endpoint at a change of its life: confirmed and listed runs, starts without an answer, and runs that ended unseen since the endpoint last answered. The same life after a silence, or a planned end, counts nothing. The log has endpoint_crashed with the tasks.

The test of event names ran to store_up only; it now runs over all kinds.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -122,6 +122,11 @@
 };
 /// Nothing that an earlier life of this companion started runs any more.
 struct endpoint_settled {};
+/// The endpoint has crashed. Precedes the ends of the runs that it took along.
+struct endpoint_crashed {
+  /// What was on it, with the crashes that were known before.
+  std::vector<crashed_task> Tasks;
+};
 /// The endpoint no longer answers, whatever it last announced.
 struct endpoint_silent {
   std::string Reason;
@@ -131,12 +136,12 @@
 /// be fetched.
 struct stop_requested {};
 
-using event =
-    std::variant<link_opened, envelope_received, link_closed, entries_read,
-                 configuration_read, endpoint_announced, run_completed,
-                 run_failed, run_not_reached, run_lost, run_stopped,
-                 run_refused, endpoint_settled, endpoint_silent,
-                 bootstrap_changed, timer_expired, stop_requested>;
+using event = std::variant<link_opened, envelope_received, link_closed,
+                           entries_read, configuration_read, endpoint_announced,
+                           run_completed, run_failed, run_not_reached, run_lost,
+                           run_stopped, run_refused, endpoint_settled,
+                           endpoint_silent, endpoint_crashed, bootstrap_changed,
+                           timer_expired, stop_requested>;
 
 // Actions.
 
@@ -162,6 +167,8 @@
   peer_address Endpoint;
   std::string RunName; ///< Name of the job towards the endpoint.
   std::uint32_t Attempt = 1;
+  /// Endpoints that crashed under earlier starts, as far as is known.
+  std::uint32_t Crashes = 0;
 };
 /// Asks the endpoint to stop a running task.
 struct stop_task {
--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -19,6 +19,10 @@
                       .ConfigurationRevision = Configuration.Revision,
                       .Endpoint = Endpoint.getReport(),
                       .Load = Desk.refreshLoad()});
+  // Before any end of a task, which would be placed again without them.
+  if (crash_report Recent = Crashes.list(Step.Now); !Recent.Tasks.empty()) {
+    Link->Unsent.emplace_back(std::move(Recent));
+  }
 }
 
 void core::implementation::on(const step &Step, envelope_received &Event) {
@@ -192,7 +196,7 @@
   Event.Kind = event_kind::ConfigurationInForce;
   Step.record(std::move(Event));
   // Entries that hear of it do not send it.
-  broadcast(makeHeartbeat());
+  Links.broadcast(makeHeartbeat());
 }
 
 void core::implementation::noteRevision(entry_peer &Peer,
@@ -232,20 +236,12 @@
     Peer.LeavingSeen = false;
   }
   const endpoint_report Report = Endpoint.getReport();
-  broadcast(Report);
+  Links.broadcast(Report);
   if (Report.State != endpoint_state::Serving) {
     Desk.giveBackQueued(Step, Reason);
   }
 }
 
-void core::implementation::broadcast(const peer_message &Message) {
-  for (auto &[Id, Link] : Links.getLinks()) {
-    if (Link.Opened) {
-      Link.Unsent.push_back(Message);
-    }
-  }
-}
-
 void core::implementation::on(const step &Step, run_completed &Event) {
   Desk.endRun(Step, Event.Task, [&Event](const ended_run &Run) {
     return task_completed{.Output = std::move(Event.Output),
@@ -308,6 +304,14 @@
   }
 }
 
+void core::implementation::on(const step &Step, endpoint_crashed &Event) {
+  const crash_report Counted =
+      Crashes.count(Step, Endpoint.getName(), std::move(Event.Tasks));
+  if (!Counted.Tasks.empty()) {
+    Links.broadcast(Counted);
+  }
+}
+
 void core::implementation::reportFreeSlot(incarnation Ended) {
   const companion_load Load = Desk.refreshLoad();
   if (!Desk.hasFreeSlot() || Load.Queued != 0) {
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -2,6 +2,7 @@
 /// What is behind companion::core: takes events and gathers what is to be sent.
 #pragma once
 
+#include "crash_ledger.h"
 #include "endpoint_monitor.h"
 #include "entry_links.h"
 #include "entry_registry.h"
@@ -41,6 +42,7 @@
   void on(const step &Step, run_refused &Event);
   void on(const step &Step, const endpoint_settled &Event);
   void on(const step &Step, const endpoint_silent &Event);
+  void on(const step &Step, endpoint_crashed &Event);
   void on(const step &Step, const timer_expired &Event);
   void on(const step &Step, const stop_requested &Event);
   void finishEvent(const step &Step);
@@ -62,7 +64,6 @@
   static void noteRevision(entry_peer &Peer, std::uint64_t Revision);
   /// Updates an entry whose revision has been smaller for a while.
   void checkRevision(const step &Step, entry_peer &Peer);
-  void broadcast(const peer_message &Message);
   void reportEndpoint(const step &Step, not_started_reason Reason);
   void reportFreeSlot(incarnation Ended);
   void closeSilentLinks(const step &Step);
@@ -84,6 +85,7 @@
   entry_registry Entries;
   endpoint_monitor Endpoint;
   task_desk Desk;
+  crash_ledger Crashes;
   spread_generator Generator;
   std::optional<instant> Wake;
   incarnation LastReported{};
--- a/packages/companion/src/entry_links.cpp
+++ b/packages/companion/src/entry_links.cpp
@@ -69,6 +69,14 @@
       Links, [](const auto &Item) { return Item.second.Entry.has_value(); }));
 }
 
+void entry_links::broadcast(const peer_message &Message) {
+  for (auto &[Id, Link] : Links) {
+    if (Link.Opened) {
+      Link.Unsent.push_back(Message);
+    }
+  }
+}
+
 void entry_links::dialDue(const step &Step) {
   if (!Dials) {
     return;
--- a/packages/companion/src/entry_links.h
+++ b/packages/companion/src/entry_links.h
@@ -61,6 +61,8 @@
   std::vector<link_id> listIdle(instant Now) const;
   std::optional<instant> getNextWake() const;
   std::uint32_t countLinked() const;
+  /// Sends \p Message over all open links.
+  void broadcast(const peer_message &Message);
   std::map<link_id, link_state> &getLinks() { return Links; }
 
 private:
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -245,7 +245,8 @@
                                        .Input = std::move(Placement.Input),
                                        .Endpoint = Run.Endpoint,
                                        .RunName = std::move(Placement.RunName),
-                                       .Attempt = Placement.Attempt});
+                                       .Attempt = Placement.Attempt,
+                                       .Crashes = Placement.Crashes});
 }
 
 void task_desk::askToStop(const step &Step, const task_id &Task) {
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -84,11 +84,13 @@
   StoreUp,
   TurnSlow, ///< Value (microseconds of one turn of the decisions), Reason (its
             ///< longest part).
+  EndpointCrashed, ///< Peer (endpoint), Value (tasks that were on it), Reason
+                   ///< (those that it probably crashed under).
 };
 
 /// Tables by kind have this many places.
 constexpr std::size_t EventKindCount =
-    static_cast<std::size_t>(event_kind::TurnSlow) + 1;
+    static_cast<std::size_t>(event_kind::EndpointCrashed) + 1;
 
 /// \returns the kind in snake case, such as `task_started`.
 std::string_view toString(event_kind Kind);
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -59,6 +59,7 @@
     "store_down",
     "store_up",
     "turn_slow",
+    "endpoint_crashed",
 };
 static_assert(!KindNames.back().empty());
 
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -11,6 +11,7 @@
 #include <crocuswood/ports.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,6 +82,8 @@
   void takeList(instant Now, const std::optional<run_list> &List);
   /// The endpoint has announced itself with this life.
   void noteLife(instant Now, const std::string &Life);
+  /// The endpoint is about to end as planned, with everything on it.
+  void noteDeparture(const std::string &Life);
   /// Does what time alone makes due.
   void advance(instant Now);
   /// \returns when advance() is due next.
@@ -99,6 +102,8 @@
   };
   struct run {
     task_id Task;
+    std::string Class;
+    std::uint32_t Crashes = 0; ///< Of endpoints under earlier starts.
     phase Phase = phase::Ordered;
     std::string Life;
     std::optional<instant> ConfirmedAt; ///< Of the start.
@@ -120,6 +125,10 @@
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
   void changeLife(const std::string &Life);
+  /// Tells the core what was on the endpoint when it crashed.
+  void reportCrash();
+  void rememberUnseen(crashed_task Task);
+  static crashed_task describe(const run_id &Id, const run &Run);
   void settle();
   /// Reports the end of a run that did not complete.
   void endRun(run_map::iterator Place, const std::string &Reason);
@@ -136,6 +145,9 @@
   run_map Runs;
   std::map<task_id, run_id> ByTask;
   std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
+  /// Runs that ended with their lease, whose endpoint has not answered since.
+  std::deque<crashed_task> EndedUnseen;
+  bool Departing = false; ///< The endpoint ends as planned.
   std::uint64_t Acknowledged = 0;
   bool Listing = false;
   bool ListLost = false; ///< The latest listing had no answer.
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -5,6 +5,13 @@
 
 namespace crocuswood::runs {
 
+namespace {
+
+/// Far more than run on an endpoint at a time.
+constexpr std::size_t MaxEndedUnseen = 1'024;
+
+} // namespace
+
 supervisor::supervisor(options Options, instant Now)
     // An earlier life of this companion may have renewed the lease just now.
     : Options(Options), ListedAt(Now), RenewedAt(Now) {}
@@ -25,7 +32,10 @@
                                 .Reason = "this run goes on already"});
     return;
   }
-  Runs.emplace(Id, run{.Task = Start.Task, .Life = Life});
+  Runs.emplace(Id, run{.Task = Start.Task,
+                       .Class = std::move(Start.Class),
+                       .Crashes = Start.Crashes,
+                       .Life = Life});
   ByTask[Start.Task] = Id;
   RenewedAt = Now;
   Steps.emplace_back(send_start{.Order = {.Run = Id,
@@ -107,6 +117,8 @@
   if (List->Life != Life) {
     changeLife(List->Life);
   }
+  // The endpoint is in the life in which these runs lost their lease.
+  EndedUnseen.clear();
   takeEnds(*List);
   const std::set<run_id> Active(List->Active.begin(), List->Active.end());
   checkMissing(Now, Active);
@@ -202,19 +214,45 @@
   }
 }
 
+void supervisor::noteDeparture(const std::string &Announced) {
+  Departing = Departing || Announced == Life;
+}
+
 void supervisor::changeLife(const std::string &Next) {
-  // A restarted endpoint runs nothing that was started before.
-  for (auto Place = Runs.begin(); Place != Runs.end();) {
-    const auto Each = Place++;
-    if (Each->second.Life != Next) {
-      endRun(Each, "the endpoint has restarted");
-    }
+  if (!Life.empty() && !Departing) {
+    reportCrash();
   }
+  EndedUnseen.clear();
+  Departing = false;
+  // A restarted endpoint runs nothing that was started before.
+  endAll("the endpoint has restarted");
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
 }
 
+void supervisor::rememberUnseen(crashed_task Task) {
+  EndedUnseen.push_back(std::move(Task));
+  if (EndedUnseen.size() > MaxEndedUnseen) {
+    EndedUnseen.pop_front();
+  }
+}
+
+void supervisor::reportCrash() {
+  std::vector<crashed_task> Tasks(EndedUnseen.begin(), EndedUnseen.end());
+  for (const auto &[Id, Run] : Runs) {
+    Tasks.push_back(describe(Id, Run));
+  }
+  tell(companion::endpoint_crashed{.Tasks = std::move(Tasks)});
+}
+
+crashed_task supervisor::describe(const run_id &Id, const run &Run) {
+  return {.RunName = Id.Job,
+          .Index = Id.Task,
+          .Class = Run.Class,
+          .Crashes = Run.Crashes};
+}
+
 void supervisor::settle() {
   if (!Settled) {
     Settled = true;
@@ -249,9 +287,10 @@
   if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
     return;
   }
-  if (!Runs.empty()) {
-    endAll("its lease ended unseen");
+  for (const auto &[Id, Run] : Runs) {
+    rememberUnseen(describe(Id, Run));
   }
+  endAll("its lease ended unseen");
   // Nothing that an earlier life started can have a lease any more.
   Foreign.clear();
   settle();
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -66,6 +66,7 @@
     "table service is down",
     "table service is up",
     "a turn of the decisions took %span",
+    "endpoint %peer crashed under %value task(s)",
 };
 static_assert(!Happenings.back().empty());
 
--- a/packages/timeline/src/job_story.cpp
+++ b/packages/timeline/src/job_story.cpp
@@ -43,6 +43,7 @@
   case event_kind::StoreDown:
   case event_kind::StoreUp:
   case event_kind::TurnSlow:
+  case event_kind::EndpointCrashed:
     return true;
   default:
     return false;
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -84,7 +84,7 @@
                  companion::run_failed, companion::run_not_reached,
                  companion::run_lost, companion::run_stopped,
                  companion::run_refused, companion::endpoint_settled,
-                 companion::endpoint_silent>;
+                 companion::endpoint_silent, companion::endpoint_crashed>;
 using endpoint_command =
     std::variant<companion::start_task, companion::stop_task>;
 
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -76,6 +76,9 @@
 void leased_endpoint_duty::takeAnnouncement(
     companion::endpoint_announcement Announcement) {
   Supervisor.noteLife(Clock.now(), Announcement.Life);
+  if (Announcement.Offer.State == endpoint_state::Absent) {
+    Supervisor.noteDeparture(Announcement.Life);
+  }
   Latest = std::move(Announcement);
   Announced = false;
   carryOut();
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -32,7 +32,8 @@
       event_kind::EndpointRestored, event_kind::ClaimUnknown,
       event_kind::StoreDown,        event_kind::StoreUp,
       event_kind::EntryOverloaded,  event_kind::EntryRecovered,
-      event_kind::TaskUncertain,    event_kind::TurnSlow};
+      event_kind::TaskUncertain,    event_kind::TurnSlow,
+      event_kind::EndpointCrashed};
   return Kinds;
 }
 
--- a/tests/model/ids_test.cpp
+++ b/tests/model/ids_test.cpp
@@ -35,7 +35,7 @@
 TEST_GROUP(Names){};
 
 TEST(Names, EveryEventKindParsesBack) {
-  for (int Value = 0; Value <= static_cast<int>(event_kind::StoreUp); ++Value) {
+  for (std::size_t Value = 0; Value < EventKindCount; ++Value) {
     const auto Kind = static_cast<event_kind>(Value);
     CHECK_TRUE(parseEventKind(toString(Kind)) == Kind);
   }
--- a/tests/runs/supervisor_test.cpp
+++ b/tests/runs/supervisor_test.cpp
@@ -2,6 +2,7 @@
 
 #include <crocuswood/runs.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -128,6 +129,23 @@
     return Count;
   }
 
+  /// \returns the tasks of the one crash that was told.
+  std::vector<crashed_task> findCrash() const {
+    CHECK_EQUAL(1U, count<companion::endpoint_crashed>());
+    for (const companion::event &Each : Told) {
+      if (const auto *Crash = std::get_if<companion::endpoint_crashed>(&Each)) {
+        return Crash->Tasks;
+      }
+    }
+    return {};
+  }
+
+  void crash() {
+    Runner.restart();
+    LosesLists = false;
+    live(Options.ListRetry + milliseconds(20));
+  }
+
   void settle() {
     live(milliseconds(20));
     CHECK_TRUE(Supervisor.isReady());
@@ -289,3 +307,129 @@
   }
   CHECK_TRUE(Requests <= 1'000 / 50 + 1);
 }
+
+// Guards against crashes that nothing counts: the tasks that were running are
+// told, before their ends.
+TEST(Supervisor, ACrashIsToldWithWhatRan) {
+  settle();
+  start(3);
+  start(4);
+  crash();
+  const std::vector<crashed_task> Tasks = findCrash();
+  CHECK_EQUAL(2U, Tasks.size());
+  const crashed_task Expected{.RunName = "job", .Index = 3, .Class = "fast"};
+  CHECK_TRUE(Tasks.front() == Expected);
+  CHECK_EQUAL(4U, Tasks.back().Index);
+  const auto IsCrash = [](const companion::event &Each) {
+    return std::holds_alternative<companion::endpoint_crashed>(Each);
+  };
+  const auto IsEnd = [](const companion::event &Each) {
+    return std::holds_alternative<companion::run_stopped>(Each);
+  };
+  CHECK_TRUE(std::ranges::find_if(Told, IsCrash) <
+             std::ranges::find_if(Told, IsEnd));
+}
+
+TEST(Supervisor, ACrashCarriesTheCrashesThatThePlacementNamed) {
+  settle();
+  Supervisor.start(Now, {.Task = makeTask(),
+                         .Class = "fast",
+                         .RunName = "job",
+                         .Attempt = 3,
+                         .Crashes = 2});
+  deliver();
+  crash();
+  CHECK_EQUAL(2U, findCrash().front().Crashes);
+}
+
+// Guards against a task that crashes the endpoint before the answer to its
+// start: it was reported as never begun.
+TEST(Supervisor, AStartWithoutAnAnswerIsUnderTheCrash) {
+  settle();
+  LosesStarts = true;
+  start();
+  crash();
+  CHECK_EQUAL(1U, findCrash().size());
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::run_refused>());
+}
+
+TEST(Supervisor, AStartThatIsStillOnItsWayIsUnderTheCrash) {
+  settle();
+  Supervisor.start(Now, {.Task = makeTask(), .RunName = "job", .Attempt = 1});
+  Supervisor.takeSteps();
+  Supervisor.noteLife(Now, "next");
+  deliver();
+  CHECK_EQUAL(1U, findCrash().size());
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+}
+
+// Guards against a crash that is noticed only when the endpoint is back, long
+// after its runs were reported as ended.
+TEST(Supervisor, RunsThatEndedUnseenAreUnderACrashThatIsNoticedLater) {
+  settle();
+  start();
+  LosesLists = true;
+  live(std::chrono::seconds(2));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+  crash();
+  CHECK_EQUAL(1U, findCrash().size());
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+}
+
+TEST(Supervisor, SilenceWithoutACrashIsNone) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(30));
+  start();
+  LosesLists = true;
+  live(std::chrono::seconds(2));
+  LosesLists = false;
+  live(Options.ListRetry + milliseconds(20));
+  CHECK_TRUE(Supervisor.isReady());
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+  // Nor are these runs under a crash that comes later.
+  crash();
+  CHECK_EQUAL(0U, findCrash().size());
+}
+
+TEST(Supervisor, RunsThatHaveEndedAreUnderNoCrash) {
+  settle();
+  start();
+  live(milliseconds(130));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+  crash();
+  CHECK_EQUAL(0U, findCrash().size());
+}
+
+TEST(Supervisor, APlannedEndOfTheEndpointIsNoCrash) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(30));
+  start();
+  Supervisor.noteDeparture(Runner.getLife());
+  Runner.restart();
+  live(milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+  start(1);
+  crash();
+  CHECK_EQUAL(1U, findCrash().size());
+}
+
+TEST(Supervisor, TheFirstLifeThatIsSeenIsNoCrash) {
+  settle();
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+}
+
+TEST(Supervisor, RunsThatEndedUnseenAreRememberedInBounds) {
+  settle();
+  Runner.setRunTime(std::chrono::seconds(30));
+  constexpr std::uint32_t Many = 1'500;
+  for (std::uint32_t Index = 0; Index < Many; ++Index) {
+    start(Index);
+  }
+  LosesLists = true;
+  live(std::chrono::seconds(1));
+  crash();
+  CHECK_EQUAL(1'024U, findCrash().size());
+}
