Take refused connections for an endpoint that is gone

Cause: the companion could not tell a process that is gone from one that gives no answer. Entries placed on it for up to 300 ms, its leases were renewed for as long, and a crash was known only when the endpoint was back, 3 s later.

Change: a listing fails with a typed reason. At a refused connection the endpoint counts as silent at once, without renewals. If it still refuses when the leases have ended, the crash is told then, before the ends of its runs. Runs end with proof only, as before: a refusal proves nothing about them. A count is not taken back if the endpoint answers in the same life, since entries keep the greatest number; a refusal that passes earlier counts nothing, nor does a time-out.

The tests fail without the change: each part left out (silence at the refusal, early report, time-outs told apart, told once, planned ends, a start after a report) fails one or two of supervisor_test.cpp.

--- a/packages/http/include/crocuswood/http.h
+++ b/packages/http/include/crocuswood/http.h
@@ -135,6 +135,7 @@
   kind Kind = kind::NotWritten;
   plain_response Response;
   std::string Reason;
+  bool Refused = false; ///< NotWritten, since the connection was refused.
 };
 
 /// A client with a pool of kept-alive connections to each server. After a lost
--- a/packages/http/src/client_connection.cpp
+++ b/packages/http/src/client_connection.cpp
@@ -105,7 +105,8 @@
           return;
         }
         if (Failure) {
-          Self->fail(plain_reply::kind::NotWritten, Failure.message());
+          Self->fail(plain_reply::kind::NotWritten, Failure.message(),
+                     Failure == asio::error::connection_refused);
           return;
         }
         Self->Connected = true;
@@ -170,11 +171,12 @@
           .Response = toPlain(std::move(Response))});
 }
 
-void client_connection::fail(plain_reply::kind Kind, std::string Reason) {
+void client_connection::fail(plain_reply::kind Kind, std::string Reason,
+                             bool Refused) {
   Connected = false;
   error_code Ignored;
   Socket.close(Ignored);
-  finish({.Kind = Kind, .Reason = std::move(Reason)});
+  finish({.Kind = Kind, .Reason = std::move(Reason), .Refused = Refused});
 }
 
 void client_connection::finish(plain_reply Reply) {
--- a/packages/http/src/client_connection.h
+++ b/packages/http/src/client_connection.h
@@ -41,7 +41,7 @@
   void written(error_code Error, std::size_t Bytes);
   void read();
   void answered(error_code Error);
-  void fail(plain_reply::kind Kind, std::string Reason);
+  void fail(plain_reply::kind Kind, std::string Reason, bool Refused = false);
   void finish(plain_reply Reply);
 
   tcp::socket Socket;
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -221,6 +221,12 @@
 
   friend bool operator==(const run_list &, const run_list &) = default;
 };
+/// Why a listing has no usable answer.
+enum class list_failure : std::uint8_t {
+  NoAnswer,
+  Refused, ///< The connection was: probably no process listens.
+};
+using list_outcome = std::variant<run_list, list_failure>;
 
 /// Gives orders to the leased endpoint beside this process.
 class leased_endpoint {
@@ -231,9 +237,8 @@
   /// Stops \p Run. A run that has not begun is barred from beginning.
   virtual void stop(const run_id &Run,
                     std::function<void(order_outcome)> Done) = 0;
-  /// \p Done gets nothing if no usable answer came in time.
   virtual void list(list_request Request,
-                    std::function<void(std::optional<run_list>)> Done) = 0;
+                    std::function<void(list_outcome)> Done) = 0;
 };
 
 /// Serves callers in the manner of one interface.
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -78,8 +78,8 @@
                         const order_outcome &Outcome);
   void takeStopOutcome(instant Now, const run_id &Run,
                        const order_outcome &Outcome);
-  /// Takes the answer to the latest send_list, or nothing if none came.
-  void takeList(instant Now, const std::optional<run_list> &List);
+  /// Takes the answer to the latest send_list.
+  void takeList(instant Now, const list_outcome &Outcome);
   /// The endpoint has announced itself with this life.
   void noteLife(instant Now, const std::string &Life);
   /// The endpoint is about to end as planned, with everything on it.
@@ -122,11 +122,15 @@
   void stopUnproved(instant Now, const run_id &Id, run &Run);
   void takeEnds(const run_list &List);
   void takeEnd(const listed_end &End);
+  void takeListFailure(instant Now, list_failure Failure);
+  void fallSilent(const std::string &Reason);
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
   void changeLife(const std::string &Life);
   /// Tells the core what was on the endpoint when it crashed.
   void reportCrash();
+  /// Does so if an endpoint whose leases have ended is probably gone.
+  void checkGone(instant Now);
   void rememberUnseen(crashed_task Task);
   static crashed_task describe(const run_id &Id, const run &Run);
   void settle();
@@ -148,6 +152,8 @@
   /// Runs that ended with their lease, whose endpoint has not answered since.
   std::deque<crashed_task> EndedUnseen;
   bool Departing = false; ///< The endpoint ends as planned.
+  bool Refuses = false;   ///< The latest listing was refused a connection.
+  bool CrashTold = false; ///< Nothing has been started or listed since.
   std::uint64_t Acknowledged = 0;
   bool Listing = false;
   bool ListLost = false; ///< The latest listing had no answer.
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -38,6 +38,7 @@
                        .Life = Life});
   ByTask[Start.Task] = Id;
   RenewedAt = Now;
+  CrashTold = false;
   Steps.emplace_back(send_start{.Order = {.Run = Id,
                                           .Input = std::move(Start.Input),
                                           .Life = Life,
@@ -104,23 +105,24 @@
   Place->second.StoppedAt = Place->second.StoppedAt.value_or(Now);
 }
 
-void supervisor::takeList(instant Now, const std::optional<run_list> &List) {
+void supervisor::takeList(instant Now, const list_outcome &Outcome) {
   Listing = false;
-  ListLost = !List;
-  if (!List) {
-    // advance() asks again, so that refused connections are not tried in a
-    // tight loop.
-    checkSilence(Now);
+  if (const auto *Failure = std::get_if<list_failure>(&Outcome)) {
+    takeListFailure(Now, *Failure);
     return;
   }
+  const auto &List = std::get<run_list>(Outcome);
+  ListLost = false;
+  Refuses = false;
   ListedAt = Now;
-  if (List->Life != Life) {
-    changeLife(List->Life);
+  if (List.Life != Life) {
+    changeLife(List.Life);
   }
   // The endpoint is in the life in which these runs lost their lease.
   EndedUnseen.clear();
-  takeEnds(*List);
-  const std::set<run_id> Active(List->Active.begin(), List->Active.end());
+  CrashTold = false;
+  takeEnds(List);
+  const std::set<run_id> Active(List.Active.begin(), List.Active.end());
   checkMissing(Now, Active);
   checkForeign(Now, Active);
   if (Foreign.empty()) {
@@ -130,6 +132,24 @@
   sendList(Now);
 }
 
+// advance() asks again, so that refused connections are not tried in a tight
+// loop.
+void supervisor::takeListFailure(instant Now, list_failure Failure) {
+  ListLost = true;
+  Refuses = Failure == list_failure::Refused;
+  if (Refuses) {
+    fallSilent("it refuses connections");
+  }
+  checkSilence(Now);
+}
+
+void supervisor::fallSilent(const std::string &Reason) {
+  if (!Silent) {
+    Silent = true;
+    tell(companion::endpoint_silent{.Reason = Reason});
+  }
+}
+
 void supervisor::takeEnds(const run_list &List) {
   for (const listed_end &End : List.Ended) {
     if (End.Number > Acknowledged) {
@@ -219,10 +239,10 @@
 }
 
 void supervisor::changeLife(const std::string &Next) {
-  if (!Life.empty() && !Departing) {
-    reportCrash();
+  for (const auto &[Id, Run] : Runs) {
+    rememberUnseen(describe(Id, Run));
   }
-  EndedUnseen.clear();
+  reportCrash();
   Departing = false;
   // A restarted endpoint runs nothing that was started before.
   endAll("the endpoint has restarted");
@@ -239,11 +259,23 @@
 }
 
 void supervisor::reportCrash() {
-  std::vector<crashed_task> Tasks(EndedUnseen.begin(), EndedUnseen.end());
-  for (const auto &[Id, Run] : Runs) {
-    Tasks.push_back(describe(Id, Run));
+  const std::vector<crashed_task> Tasks(EndedUnseen.begin(), EndedUnseen.end());
+  EndedUnseen.clear();
+  if (Life.empty() || Departing || CrashTold) {
+    return;
+  }
+  CrashTold = true;
+  tell(companion::endpoint_crashed{.Tasks = Tasks});
+}
+
+// The life of an endpoint that is back tells for certain, but only after
+// seconds, and its tasks run elsewhere from now on. One that refused
+// connections until all leases had ended is very likely gone; if it comes back
+// in the same life, the count stands.
+void supervisor::checkGone(instant Now) {
+  if (Refuses && Now - ListedAt >= Options.SilenceLimit) {
+    reportCrash();
   }
-  tell(companion::endpoint_crashed{.Tasks = std::move(Tasks)});
 }
 
 crashed_task supervisor::describe(const run_id &Id, const run &Run) {
@@ -280,9 +312,8 @@
 }
 
 void supervisor::checkSilence(instant Now) {
-  if (!Silent && Now - ListedAt >= Options.SilenceLimit) {
-    Silent = true;
-    tell(companion::endpoint_silent{.Reason = "it does not list its runs"});
+  if (Now - ListedAt >= Options.SilenceLimit) {
+    fallSilent("it does not list its runs");
   }
   if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
     return;
@@ -290,6 +321,7 @@
   for (const auto &[Id, Run] : Runs) {
     rememberUnseen(describe(Id, Run));
   }
+  checkGone(Now);
   endAll("its lease ended unseen");
   // Nothing that an earlier life started can have a lease any more.
   Foreign.clear();
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -123,11 +123,10 @@
                    });
                  },
                  [&](const runs::send_list &Send) {
-                   Runner.list(Send.Request,
-                               [this](const std::optional<run_list> &List) {
-                                 Supervisor.takeList(Clock.now(), List);
-                                 carryOut();
-                               });
+                   Runner.list(Send.Request, [this](const list_outcome &List) {
+                     Supervisor.takeList(Clock.now(), List);
+                     carryOut();
+                   });
                  },
                  [&](runs::tell_core &Tell) {
                    if (std::holds_alternative<companion::endpoint_silent>(
--- a/tests/http/clients_test.cpp
+++ b/tests/http/clients_test.cpp
@@ -67,8 +67,10 @@
   plain_client Client(Context, 4, Limit);
   const plain_reply Reply = send(Client, closedAddress(Context));
   CHECK_TRUE(Reply.Kind == plain_reply::kind::NotWritten);
-  CHECK_TRUE(send(Client, {"no number", 1}).Kind ==
-             plain_reply::kind::NotWritten);
+  CHECK_TRUE(Reply.Refused);
+  const plain_reply Other = send(Client, {"no number", 1});
+  CHECK_TRUE(Other.Kind == plain_reply::kind::NotWritten);
+  CHECK_FALSE(Other.Refused);
 }
 
 TEST(PlainClient, TruncatedAnswerAndTimeLimitAreLost) {
--- a/tests/runs/random_test.cpp
+++ b/tests/runs/random_test.cpp
@@ -124,7 +124,8 @@
   void answerList() {
     const list_request Request = *std::exchange(Listing, std::nullopt);
     if (isLost()) {
-      Supervisor.takeList(Now, std::nullopt);
+      Supervisor.takeList(Now, chance(50) ? list_failure::NoAnswer
+                                          : list_failure::Refused);
     } else {
       Supervisor.takeList(Now, Runner.list(Request));
     }
--- a/tests/runs/supervisor_test.cpp
+++ b/tests/runs/supervisor_test.cpp
@@ -32,6 +32,7 @@
   bool LosesStartAnswers = false; ///< The runs begin all the same.
   bool LosesStops = false;
   bool LosesLists = false;
+  list_failure Failure = list_failure::NoAnswer; ///< Of a lost listing.
 
   task_id makeTask(std::uint32_t Index = 0) {
     return {.Job = {.Entry = incarnation{1}, .Sequence = 1}, .Index = Index};
@@ -105,7 +106,7 @@
     std::swap(Requests, Asked);
     for (const list_request &Request : Requests) {
       if (LosesLists) {
-        Supervisor.takeList(Now, std::nullopt);
+        Supervisor.takeList(Now, Failure);
       } else {
         Supervisor.takeList(Now, Runner.list(Request));
       }
@@ -433,3 +434,81 @@
   crash();
   CHECK_EQUAL(1'024U, findCrash().size());
 }
+
+// Guards against entries that place tasks on an endpoint that is gone until it
+// has been silent for long.
+TEST(Supervisor, ARefusedConnectionIsSilenceAtOnce) {
+  settle();
+  LosesLists = true;
+  Failure = list_failure::Refused;
+  live(milliseconds(10));
+  CHECK_EQUAL(1U, count<companion::endpoint_silent>());
+  CHECK_FALSE(Supervisor.isReady());
+  LosesLists = false;
+  live(Options.ListRetry + milliseconds(20));
+  CHECK_TRUE(Supervisor.isReady());
+}
+
+// Guards against a crash that entries hear of only when the endpoint is back:
+// its tasks have crashed others by then.
+TEST(Supervisor, ACrashIsToldWhenTheLeasesOfARefusingEndpointHaveEnded) {
+  settle();
+  start();
+  LosesLists = true;
+  Failure = list_failure::Refused;
+  live(milliseconds(200));
+  CHECK_EQUAL(0U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+  live(Options.Lease + Options.LeaseMargin - milliseconds(200) +
+       Options.ListRetry);
+  CHECK_EQUAL(1U, findCrash().size());
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_TRUE(std::holds_alternative<companion::run_stopped>(Told.back()));
+  // The next life tells nothing new, whether it is announced or listed first.
+  live(std::chrono::seconds(2));
+  Runner.restart();
+  Supervisor.noteLife(Now, Runner.getLife());
+  live(std::chrono::seconds(1));
+  CHECK_EQUAL(1U, count<companion::endpoint_crashed>());
+  LosesLists = false;
+  live(Options.ListRetry + milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::endpoint_crashed>());
+  // But the next crash does.
+  start(1);
+  crash();
+  CHECK_EQUAL(2U, count<companion::endpoint_crashed>());
+}
+
+TEST(Supervisor, ConnectionsThatAreRefusedForAMomentAreNoCrash) {
+  settle();
+  start();
+  LosesLists = true;
+  Failure = list_failure::Refused;
+  live(milliseconds(100));
+  LosesLists = false;
+  live(milliseconds(200));
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
+
+TEST(Supervisor, AnEndpointThatHasLeftAndRefusesIsNoCrash) {
+  settle();
+  start();
+  Supervisor.noteDeparture(Runner.getLife());
+  LosesLists = true;
+  Failure = list_failure::Refused;
+  live(std::chrono::seconds(1));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::endpoint_crashed>());
+}
+
+TEST(Supervisor, ACrashBeforeTheFirstListingOfANewLifeIsTold) {
+  settle();
+  Supervisor.noteLife(Now, "next");
+  deliver();
+  CHECK_EQUAL(0U, findCrash().size());
+  start();
+  Supervisor.noteLife(Now, "the one after");
+  deliver();
+  CHECK_EQUAL(2U, count<companion::endpoint_crashed>());
+}
