--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -67,6 +67,7 @@
     "table service is up",
     "a turn of the decisions took %span",
     "dropped input after the last answer of a connection",
+    "endpoint %peer crashed under %value task(s)",
 };
 static_assert(!Happenings.back().empty());
 
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -76,6 +76,9 @@
 void leased_endpoint_duty::takeAnnouncement(
     companion::endpoint_announcement Announcement) {
   Supervisor.noteLife(Clock.now(), Announcement.Life);
+  if (Announcement.Offer.State == endpoint_state::Absent) {
+    Supervisor.noteDeparture(Announcement.Life);
+  }
   Latest = std::move(Announcement);
   Announced = false;
   carryOut();
@@ -120,11 +123,10 @@
                    });
                  },
                  [&](const runs::send_list &Send) {
-                   Runner.list(Send.Request,
-                               [this](const std::optional<run_list> &List) {
-                                 Supervisor.takeList(Clock.now(), List);
-                                 carryOut();
-                               });
+                   Runner.list(Send.Request, [this](const list_outcome &List) {
+                     Supervisor.takeList(Clock.now(), List);
+                     carryOut();
+                   });
                  },
                  [&](runs::tell_core &Tell) {
                    if (std::holds_alternative<companion::endpoint_silent>(
