Give up a task under which two endpoints have crashed

Callers saw other work refused while a task crashed one endpoint after the other: nothing counted the crashes under a task, so only the number of its attempts bounded it, and that began anew with a resubmission or another entry.

The entry keeps the greatest number of crashes that any companion has reported for a task, by the names that tasks have towards endpoints. At two the job fails with task_failed; a job that arrives with such a task fails before anything is placed. The number rides with each placement. Taking the greatest makes repeated reports harmless; number and age of the records are bounded.

--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -92,6 +92,7 @@
   closeIntake();
   Links.checkTimes();
   Claims.retryUnsettled();
+  State.Crashes.checkTimes(State.now());
   State.Companions.refreshSums(
       static_cast<std::uint32_t>(State.Entries.size()));
   Health.checkTimes();
--- /dev/null
+++ b/packages/entry/src/crash_memory.cpp
@@ -0,0 +1,66 @@
+#include "crash_memory.h"
+
+namespace crocuswood::entry {
+
+bool crash_memory::note(const std::string &RunName, const task_crashes &Task,
+                        instant Now) {
+  if (Task.Crashes <= getCrashes(RunName, Task.Index)) {
+    return false;
+  }
+  const auto [Place, Added] = Jobs[RunName].try_emplace(Task.Index);
+  record &Record = Place->second;
+  Record.Crashes = Task.Crashes;
+  if (Added) {
+    Record.Age = Ages.insert(
+        Ages.end(), {.RunName = RunName, .Index = Task.Index, .RaisedAt = Now});
+  } else {
+    Record.Age->RaisedAt = Now;
+    Ages.splice(Ages.end(), Ages, Record.Age);
+  }
+  if (Ages.size() > MaxTasks) {
+    forgetOldest();
+  }
+  return true;
+}
+
+std::uint32_t crash_memory::getCrashes(const std::string &RunName,
+                                       std::uint32_t Index) const {
+  const auto Job = Jobs.find(RunName);
+  if (Job == Jobs.end()) {
+    return 0;
+  }
+  const auto Task = Job->second.find(Index);
+  return Task == Job->second.end() ? 0 : Task->second.Crashes;
+}
+
+std::optional<task_crashes>
+crash_memory::findFatal(const std::string &RunName) const {
+  const auto Job = Jobs.find(RunName);
+  if (Job == Jobs.end()) {
+    return std::nullopt;
+  }
+  for (const auto &[Index, Record] : Job->second) {
+    if (Record.Crashes >= FatalCrashes) {
+      return task_crashes{.Index = Index, .Crashes = Record.Crashes};
+    }
+  }
+  return std::nullopt;
+}
+
+void crash_memory::checkTimes(instant Now) {
+  while (!Ages.empty() && Now - Ages.front().RaisedAt > MaxAge) {
+    forgetOldest();
+  }
+}
+
+void crash_memory::forgetOldest() {
+  const age &Oldest = Ages.front();
+  const auto Job = Jobs.find(Oldest.RunName);
+  Job->second.erase(Oldest.Index);
+  if (Job->second.empty()) {
+    Jobs.erase(Job);
+  }
+  Ages.pop_front();
+}
+
+} // namespace crocuswood::entry
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -168,10 +168,10 @@
                      .ExpectedRunTime = Class.expect(Placed.DeclaredRunTime),
                      .Needs = Placed.Needs,
                      .Pool = poolOf(Class.Spec),
-                     .RunName =
-                         Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId,
+                     .RunName = runNameOf(Job),
                      .Attempt = ++Placed.Starts,
                      .Priority = Class.Spec.Priority};
+  Message.Crashes = State.Crashes.getCrashes(Message.RunName, Task.Index);
   if (Job.Repeatable) {
     Message.RunLimit = Class.getRunLimit(Placed.Stops);
   }
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -5,6 +5,7 @@
 #include "action_sink.h"
 #include "class_table.h"
 #include "companion_table.h"
+#include "crash_memory.h"
 #include "generator.h"
 #include "job_table.h"
 #include "overload_guard.h"
@@ -38,6 +39,7 @@
   waiting_queue Queue;
   retry_list Retries;
   companion_table Companions;
+  crash_memory Crashes;
   configuration Configuration;
   std::vector<peer_address> Entries;
   message_counts Messages;
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -111,6 +111,11 @@
   bool Parked = false;       ///< Its team is out of starts.
 };
 
+/// \returns the name of \p Job towards endpoints.
+inline std::string runNameOf(const job &Job) {
+  return Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId;
+}
+
 /// A task of a job by its place in memory.
 struct task_ref {
   job *Job = nullptr;
--- a/packages/entry/src/job_manager.cpp
+++ b/packages/entry/src/job_manager.cpp
@@ -106,13 +106,15 @@
   if (Class && isRefusalUnderLoad(Failure.Code)) {
     ++State.Classes[*Class].Counters.Refused;
   }
-  State.Sink.record({.Kind = event_kind::JobRefused,
-                     .Job = Id,
-                     .Class = Job.Class,
-                     .Team = Job.Team,
-                     .Code = toString(Failure.Code),
-                     .Reason = Failure.Reason,
-                     .Certainty = toString(Failure.Certainty)});
+  const bool NotRun = Failure.Certainty == run_certainty::NotRun;
+  State.Sink.record(
+      {.Kind = NotRun ? event_kind::JobRefused : event_kind::JobFailed,
+       .Job = Id,
+       .Class = Job.Class,
+       .Team = Job.Team,
+       .Code = toString(Failure.Code),
+       .Reason = Failure.Reason,
+       .Certainty = toString(Failure.Certainty)});
   const job_outcome Outcome = std::move(Failure);
   State.Sink.record(
       {.Kind = event_kind::AnswerSent, .Job = Id, .Digest = digest(Outcome)});
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -46,6 +46,14 @@
   return Place == Callers.end() ? nullptr : Jobs.at(Place->second).get();
 }
 
+job *job_table::findRunName(const std::string &RunName) {
+  if (job *Job = findCaller(RunName)) {
+    return Job;
+  }
+  const auto Id = parseJobId(RunName);
+  return Id ? find(*Id) : nullptr;
+}
+
 void job_table::setCaller(job &Job, std::string CallerId) {
   Job.CallerId = std::move(CallerId);
   if (!Job.CallerId.empty()) {
--- a/packages/entry/src/job_table.h
+++ b/packages/entry/src/job_table.h
@@ -32,6 +32,8 @@
   job *findRequest(request_id Request);
   /// \returns the job with the caller's id \p CallerId, or null.
   job *findCaller(const std::string &CallerId);
+  /// \returns the job that endpoints know as \p RunName, or null.
+  job *findRunName(const std::string &RunName);
   /// Sets the caller's id of \p Job, by which it is found.
   void setCaller(job &Job, std::string CallerId);
   /// From now on \p Request waits for the answer of \p Job.
--- a/packages/entry/src/submission_check.cpp
+++ b/packages/entry/src/submission_check.cpp
@@ -19,9 +19,23 @@
           .RetryAfter = RetryAfter};
 }
 
+job_failure failureOf(const task_crashes &Task) {
+  return {.Code = failure_code::TaskFailed,
+          .Certainty = run_certainty::MayHaveRun,
+          .Reason = std::to_string(Task.Crashes) +
+                    " endpoints crashed under task " +
+                    std::to_string(Task.Index) + ".",
+          .Task = Task.Index};
+}
+
 std::optional<job_failure> submission_check::find(const job_request &Request) {
-  auto Failure = findFault(Request);
-  return Failure ? std::move(Failure) : findOverload(Request);
+  if (auto Fault = findFault(Request)) {
+    return Fault;
+  }
+  if (const auto Fatal = State.Crashes.findFatal(Request.CallerId)) {
+    return failureOf(*Fatal);
+  }
+  return findOverload(Request);
 }
 
 std::optional<job_failure>
--- a/packages/entry/src/submission_check.h
+++ b/packages/entry/src/submission_check.h
@@ -13,6 +13,9 @@
 /// What callers are told to wait when nothing better is known.
 constexpr duration NotReadyRetry = std::chrono::seconds(1);
 
+/// \returns the failure of a job that is given up for the crashes under \p
+/// Task.
+job_failure failureOf(const task_crashes &Task);
 /// \returns a failure of a job of which nothing has run.
 job_failure notRun(failure_code Code, std::string Reason,
                    std::optional<duration> RetryAfter = std::nullopt);
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -247,6 +247,21 @@
   Jobs.progress(*Found->Job);
 }
 
+void task_ends::takeCrashes(const crash_report &Report) {
+  for (const crashed_task &Each : Report.Tasks) {
+    const task_crashes Crashes{.Index = Each.Index, .Crashes = Each.Crashes};
+    if (!State.Crashes.note(Each.RunName, Crashes, State.now()) ||
+        Each.Crashes < FatalCrashes) {
+      continue;
+    }
+    job *Job = State.Jobs.findRunName(Each.RunName);
+    if (Job != nullptr && Each.Index < Job->Tasks.size()) {
+      Job->MayHaveRun = true;
+      Jobs.fail(*Job, failureOf(Crashes));
+    }
+  }
+}
+
 void task_ends::loseAll(companion_index Companion, const std::string &Reason) {
   takeBackUnwritten(Companion);
   while (!State.Companions[Companion].Outstanding.empty()) {
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -22,6 +22,9 @@
   void takeBackUnwritten(companion_index Companion);
   /// Notes that \p Task has started although its end is not known yet.
   void noteRunning(companion_index Companion, const task_id &Task);
+  /// Takes the crashes that a companion has seen, of tasks of any entry. A live
+  /// job with a task that has crashed too many endpoints fails.
+  void takeCrashes(const crash_report &Report);
   /// Notes that the ends of all tasks on a companion will never be known. With
   /// leases nothing of them runs any more.
   void loseAll(companion_index Companion, const std::string &Reason);
