Give a companion one suspect at a time

A crash counts for all tasks on an endpoint, and later for those with the most crashes: two suspects on one endpoint were given up together although one of them was harmless. An entry gives a companion a task under which an endpoint has crashed only if it has no other such task of this entry. Suspects wait in the list of retries, so no fresh task waits behind them.

Test: Crash.CompanionGetsOneSuspectAtATime failed with the condition taken out (2 on one companion, 1 expected).

--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -40,6 +40,7 @@
   std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
   /// Placements that the last load heard can't have counted.
   std::deque<unseen_placement> Unseen;
+  std::uint32_t Suspects = 0;        ///< Outstanding tasks that are suspects.
   std::uint64_t OutstandingRoom = 0; ///< Of the outstanding tasks.
   std::uint64_t UnseenRoom = 0;      ///< Of the unseen placements.
   double Others = 0; ///< Slots or cores of other entries in the last load.
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -120,6 +120,7 @@
   Record.Unseen.push_back({.PlacedAt = Now, .Room = Room});
   Record.UnseenRoom += Room;
   Record.OutstandingRoom += Room;
+  Record.Suspects += Placed.Suspect ? 1 : 0;
   Record.UsedMemoryBytes += Placed.Needs.MemoryBytes;
   Record.UsedAccelerators += Placed.Needs.Accelerators;
   refreshRoom(Index, Now);
@@ -134,6 +135,8 @@
   Hole.get().Position = Released.Position;
   Record.Outstanding.pop_back();
   Record.OutstandingRoom -= Released.Room;
+  Record.Suspects -= Released.Suspect ? 1 : 0;
+  Released.Suspect = false;
   Record.UsedMemoryBytes -= Released.Needs.MemoryBytes;
   Record.UsedAccelerators -= Released.Needs.Accelerators;
   Released.Companion = NoCompanion;
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -14,6 +14,7 @@
     return;
   }
   Blocked.assign(State.Classes.getCount(), false);
+  BlockedSuspects.assign(State.Classes.getCount(), false);
   runRetries();
   while (true) {
     auto Choice = chooseOnTime();
@@ -56,8 +57,13 @@
 }
 
 bool dispatcher::placeRetry(const task_ref &Task) {
+  const bool Suspect = isSuspect(Task);
+  if (Suspect && BlockedSuspects[Task.Job->Class]) {
+    return false;
+  }
   const companion_index Companion = findCompanion(Task);
   if (Companion == NoCompanion) {
+    BlockedSuspects[Task.Job->Class] = Suspect;
     return false;
   }
   State.Retries.spend();
@@ -109,9 +115,10 @@
 
 bool dispatcher::placeNext(const choice &Choice) {
   job &Job = *Choice.Job;
-  const companion_index Companion =
-      findCompanion({.Job = &Job, .Index = Job.NextFresh});
-  if (Companion == NoCompanion) {
+  const task_ref Next{.Job = &Job, .Index = Job.NextFresh};
+  const companion_index Companion = findCompanion(Next);
+  const bool Waits = Companion == NoCompanion;
+  if (Waits && !isSuspect(Next)) {
     return false;
   }
   if (!State.Teams.takeStart(Job.Team, State.now())) {
@@ -120,15 +127,27 @@
     return true;
   }
   const std::uint32_t Index = State.Queue.take(Job, State.now());
+  if (Waits) {
+    // The tasks behind a suspect need not wait with it.
+    State.Retries.add({.Job = Job.Id, .Index = Index});
+    return true;
+  }
   State.Retries.notePlacement();
   place({.Job = &Job, .Index = Index}, Companion, Choice.Due);
   return true;
 }
 
+bool dispatcher::isSuspect(const task_ref &Task) const {
+  return State.Crashes.getCount() > 0 &&
+         State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index) > 0;
+}
+
 companion_index dispatcher::findCompanion(const task_ref &Task) {
   const job &Job = *Task.Job;
+  const bool Suspect = isSuspect(Task);
   const auto MayTake = [&](companion_index Candidate) {
-    if (!State.Companions.hasNeeds(Candidate, Task.get().Needs)) {
+    if (!State.Companions.hasNeeds(Candidate, Task.get().Needs) ||
+        (Suspect && State.Companions[Candidate].Suspects > 0)) {
       return false;
     }
     const incarnation Life = State.Companions[Candidate].Id.Incarnation;
@@ -159,6 +178,7 @@
   ++Job.Placed;
   Placed.Written = false;
   Placed.Withdrawn = false;
+  Placed.Suspect = isSuspect(Task);
   State.Teams.addWaiting(Job.Team, -1);
   State.Companions.assign(Task, Companion, State.now());
   place_task Message{.Task = Task.getId(),
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -43,12 +43,17 @@
   /// \returns false if no companion has room for the class of \p Choice.
   bool placeNext(const choice &Choice);
   companion_index findCompanion(const task_ref &Task);
+  /// \returns whether an endpoint has crashed under \p Task. The next crash
+  /// must tell which of several suspects it counts for, so a companion gets one
+  /// at a time.
+  bool isSuspect(const task_ref &Task) const;
   void place(const task_ref &Task, companion_index Companion, instant Due);
 
   entry_state &State;
   health &Health;
   std::unique_ptr<placement_policy> Policy;
   std::vector<bool> Blocked; ///< Classes without room in the current run.
+  std::vector<bool> BlockedSuspects; ///< The same for suspects alone.
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -43,6 +43,7 @@
   task_state State = task_state::Waiting;
   bool Written = false;   ///< While Placed: the placement has been flushed.
   bool Withdrawn = false; ///< While Placed: asked back.
+  bool Suspect = false;   ///< While Placed: an endpoint has crashed under it.
   std::uint8_t Attempts = 0;
   std::uint32_t Starts = 0;   ///< Placements so far; numbers the next one.
   std::uint32_t Failures = 0; ///< Runs that the endpoint reported as failed.
--- a/tests/entry/crash_test.cpp
+++ b/tests/entry/crash_test.cpp
@@ -155,6 +155,36 @@
   }
 }
 
+// Two suspects on one endpoint: its crash gave up the harmless one, too.
+TEST(Crash, CompanionGetsOneSuspectAtATime) {
+  for (std::uint32_t Index = 0; Index < 4; ++Index) {
+    Entry.receive(A, {makeReport(Caller, Index, 1)});
+  }
+  const request_id Suspects = Entry.submit(makeJob(4));
+  CHECK_EQUAL(1U, Entry.placed(A).size());
+  CHECK_EQUAL(1U, Entry.placed(B).size());
+  const task_id First = Entry.placed(A).front();
+  const task_id Second = Entry.placed(B).front();
+  Entry.clear();
+  Entry.complete(A, First);
+  CHECK_EQUAL(1U, Entry.placed(A).size());
+  CHECK_EQUAL(0U, Entry.placed(B).size());
+  Entry.complete(B, Second);
+  Entry.complete(A, Entry.placed(A).front());
+  Entry.complete(B, Entry.placed(B).front());
+  CHECK_TRUE(Entry.isCompleted(Suspects));
+}
+
+TEST(Crash, OthersDoNotWaitForSuspects) {
+  for (std::uint32_t Index = 0; Index < 4; ++Index) {
+    Entry.receive(A, {makeReport(Caller, Index, 1)});
+  }
+  Entry.submit(makeJob(4));
+  Entry.clear();
+  Entry.submit(makeJob(2, "00aa00aa00aa00aa"));
+  CHECK_EQUAL(2U, Entry.placed(A).size() + Entry.placed(B).size());
+}
+
 TEST_GROUP(CrashMemory) {
   crash_memory Memory;
   instant Now{seconds(1000)};
