Add up crashes that companions tell of separately

A companion tells of a crash when its endpoint is back, seconds later. Until then a task may crash further endpoints, whose companions get it with the same number: each then tells of one crash, and the greatest number stays one however many endpoints were lost.

The entry also counts the companions that tell of a crash under a task. Each has seen at least one, so the sum is never too high, and repeated reports still change nothing.

Test: CrashMemory.CompanionsThatTellOfOneCrashEachAddUp failed without the count of companions.

--- a/packages/entry/src/crash_memory.cpp
+++ b/packages/entry/src/crash_memory.cpp
@@ -1,15 +1,29 @@
 #include "crash_memory.h"
 
+#include <algorithm>
+
 namespace crocuswood::entry {
 
+namespace {
+
+// More of them change nothing.
+constexpr std::size_t MaxReporters = 8;
+
+} // namespace
+
 bool crash_memory::note(const std::string &RunName, const task_crashes &Task,
-                        instant Now) {
-  if (Task.Crashes <= getCrashes(RunName, Task.Index)) {
-    return false;
-  }
+                        const std::string &Reporter, instant Now) {
   const auto [Place, Added] = Jobs[RunName].try_emplace(Task.Index);
   record &Record = Place->second;
-  Record.Crashes = Task.Crashes;
+  if (Record.Reporters.size() < MaxReporters) {
+    Record.Reporters.insert(digest(Reporter));
+  }
+  const auto Reporters = static_cast<std::uint32_t>(Record.Reporters.size());
+  const std::uint32_t Crashes = std::max(Task.Crashes, Reporters);
+  if (Crashes <= Record.Crashes) {
+    return false;
+  }
+  Record.Crashes = Crashes;
   if (Added) {
     Record.Age = Ages.insert(
         Ages.end(), {.RunName = RunName, .Index = Task.Index, .RaisedAt = Now});
--- a/packages/entry/src/crash_memory.h
+++ b/packages/entry/src/crash_memory.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace crocuswood::entry {
@@ -35,8 +36,11 @@
   /// Callers send a job again within seconds, and no longer after its deadline.
   static constexpr duration MaxAge = std::chrono::minutes(10);
 
+  /// Takes what the companion \p Reporter tells. It may not have known of other
+  /// crashes, so there were at least as many as companions that tell of one.
   /// \returns whether \p Task has crashed more endpoints than was known.
-  bool note(const std::string &RunName, const task_crashes &Task, instant Now);
+  bool note(const std::string &RunName, const task_crashes &Task,
+            const std::string &Reporter, instant Now);
   /// \returns the crashes under a task; 0 for an unknown one.
   std::uint32_t getCrashes(const std::string &RunName,
                            std::uint32_t Index) const;
@@ -54,6 +58,7 @@
   };
   struct record {
     std::uint32_t Crashes = 0;
+    std::set<std::uint64_t> Reporters; ///< Digests of their names.
     std::list<age>::iterator Age;
   };
 
--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -234,7 +234,7 @@
               announce();
             }
           },
-          [&](crash_report &Report) { Ends.takeCrashes(Report); },
+          [&](crash_report &Report) { Ends.takeCrashes(Companion, Report); },
           [&](auto &) {
             dropLink(Companion, "The companion sent an unexpected message.");
           }},
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -247,17 +247,21 @@
   Jobs.progress(*Found->Job);
 }
 
-void task_ends::takeCrashes(const crash_report &Report) {
+void task_ends::takeCrashes(companion_index Companion,
+                            const crash_report &Report) {
+  const std::string Reporter = State.companionName(Companion);
   for (const crashed_task &Each : Report.Tasks) {
     const task_crashes Crashes{.Index = Each.Index, .Crashes = Each.Crashes};
-    if (!State.Crashes.note(Each.RunName, Crashes, State.now()) ||
-        Each.Crashes < FatalCrashes) {
+    if (!State.Crashes.note(Each.RunName, Crashes, Reporter, State.now())) {
       continue;
     }
     job *Job = State.Jobs.findRunName(Each.RunName);
-    if (Job != nullptr && Each.Index < Job->Tasks.size()) {
+    const std::uint32_t Known =
+        State.Crashes.getCrashes(Each.RunName, Each.Index);
+    if (Known >= FatalCrashes && Job != nullptr &&
+        Each.Index < Job->Tasks.size()) {
       Job->MayHaveRun = true;
-      Jobs.fail(*Job, failureOf(Crashes));
+      Jobs.fail(*Job, failureOf({.Index = Each.Index, .Crashes = Known}));
     }
   }
 }
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -24,7 +24,7 @@
   void noteRunning(companion_index Companion, const task_id &Task);
   /// Takes the crashes that a companion has seen, of tasks of any entry. A live
   /// job with a task that has crashed too many endpoints fails.
-  void takeCrashes(const crash_report &Report);
+  void takeCrashes(companion_index Companion, const crash_report &Report);
   /// Notes that the ends of all tasks on a companion will never be known. With
   /// leases nothing of them runs any more.
   void loseAll(companion_index Companion, const std::string &Reason);
--- a/tests/entry/crash_test.cpp
+++ b/tests/entry/crash_test.cpp
@@ -191,17 +191,26 @@
 };
 
 TEST(CrashMemory, GreatestNumberHolds) {
-  CHECK_TRUE(Memory.note(Caller, {.Index = 4, .Crashes = 2}, Now));
-  CHECK_FALSE(Memory.note(Caller, {.Index = 4, .Crashes = 1}, Now));
-  CHECK_FALSE(Memory.note(Caller, {.Index = 4, .Crashes = 2}, Now));
+  CHECK_TRUE(Memory.note(Caller, {.Index = 4, .Crashes = 2}, "runner-a", Now));
+  CHECK_FALSE(Memory.note(Caller, {.Index = 4, .Crashes = 1}, "runner-a", Now));
+  CHECK_FALSE(Memory.note(Caller, {.Index = 4, .Crashes = 2}, "runner-a", Now));
   CHECK_EQUAL(2U, Memory.getCrashes(Caller, 4));
   CHECK_EQUAL(0U, Memory.getCrashes(Caller, 3));
 }
 
+// Endpoints that crash before any is back: none of the companions knew of the
+// crashes of the others.
+TEST(CrashMemory, CompanionsThatTellOfOneCrashEachAddUp) {
+  CHECK_TRUE(Memory.note(Caller, {.Index = 4, .Crashes = 1}, "runner-a", Now));
+  CHECK_FALSE(Memory.note(Caller, {.Index = 4, .Crashes = 1}, "runner-a", Now));
+  CHECK_TRUE(Memory.note(Caller, {.Index = 4, .Crashes = 1}, "runner-b", Now));
+  CHECK_EQUAL(2U, Memory.getCrashes(Caller, 4));
+}
+
 TEST(CrashMemory, OneCrashIsNotFatal) {
-  Memory.note(Caller, {.Index = 4, .Crashes = 1}, Now);
+  Memory.note(Caller, {.Index = 4, .Crashes = 1}, "runner-a", Now);
   CHECK_FALSE(Memory.findFatal(Caller).has_value());
-  Memory.note(Caller, {.Index = 4, .Crashes = 2}, Now);
+  Memory.note(Caller, {.Index = 4, .Crashes = 2}, "runner-a", Now);
   CHECK_EQUAL(4U, Memory.findFatal(Caller)->Index);
 }
 
@@ -209,7 +218,7 @@
 TEST(CrashMemory, OldestTasksAreForgottenBeyondTheBound) {
   const auto Last = static_cast<std::uint32_t>(crash_memory::MaxTasks);
   for (std::uint32_t Index = 0; Index <= Last; ++Index) {
-    Memory.note(Caller, {.Index = Index, .Crashes = 1}, Now);
+    Memory.note(Caller, {.Index = Index, .Crashes = 1}, "runner-a", Now);
   }
   CHECK_EQUAL(crash_memory::MaxTasks, Memory.getCount());
   CHECK_EQUAL(0U, Memory.getCrashes(Caller, 0));
@@ -217,7 +226,7 @@
 }
 
 TEST(CrashMemory, CountsOutliveAResubmissionAndThenExpire) {
-  Memory.note(Caller, {.Index = 0, .Crashes = 2}, Now);
+  Memory.note(Caller, {.Index = 0, .Crashes = 2}, "runner-a", Now);
   Memory.checkTimes(Now + seconds(60));
   CHECK_EQUAL(2U, Memory.getCrashes(Caller, 0));
   Memory.checkTimes(Now + crash_memory::MaxAge + seconds(1));
@@ -225,11 +234,11 @@
 }
 
 TEST(CrashMemory, ACrashKeepsATaskAndARepeatedReportDoesNot) {
-  Memory.note(Caller, {.Index = 0, .Crashes = 1}, Now);
-  Memory.note(Caller, {.Index = 1, .Crashes = 1}, Now);
+  Memory.note(Caller, {.Index = 0, .Crashes = 1}, "runner-a", Now);
+  Memory.note(Caller, {.Index = 1, .Crashes = 1}, "runner-a", Now);
   const instant Later = Now + crash_memory::MaxAge;
-  Memory.note(Caller, {.Index = 0, .Crashes = 2}, Later);
-  Memory.note(Caller, {.Index = 1, .Crashes = 1}, Later);
+  Memory.note(Caller, {.Index = 0, .Crashes = 2}, "runner-a", Later);
+  Memory.note(Caller, {.Index = 1, .Crashes = 1}, "runner-a", Later);
   Memory.checkTimes(Later + seconds(1));
   CHECK_EQUAL(2U, Memory.getCrashes(Caller, 0));
   CHECK_EQUAL(0U, Memory.getCrashes(Caller, 1));
