Hold a task back that may have crashed two endpoints

A companion can't tell of a crash before its endpoint is back.

A run that ended while its companion's endpoint was silent makes its task a suspect at once. With two such endpoints still silent, or one and a reported crash, the task waits until they are back (at most 15 s each): then the report gives the job up or the task goes on. Nothing is given up on a guess, so an endpoint that only hung costs time and no job.

Test: Crash.ThirdStartWaitsForNewsOfTheEndpointsThatFellSilent failed without the wait (three endpoints instead of two).

--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -20,6 +20,9 @@
   std::uint32_t Room = 0;
 };
 
+/// An endpoint that has crashed is back after some seconds, or not at all.
+constexpr duration EndpointReturnTime = std::chrono::seconds(15);
+
 /// A companion from its first hello until it is lost.
 struct companion_record {
   process_id Id;
@@ -55,6 +58,7 @@
   double Slowness = 1;
   instant SlownessAt; ///< When it was last learned.
 
+  instant ServedAt; ///< When it was last known to serve, after it has stopped.
   bool SetAside = false;
   std::optional<std::uint32_t> Allowed; ///< Most outstanding tasks while it is
                                         ///< not trusted in full.
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -262,6 +262,9 @@
   companion_record &Record = Records[Index];
   countOthers(Record);
   if (!mayServe(Record)) {
+    if (!Record.Runnable.empty()) {
+      Record.ServedAt = Now;
+    }
     setRunnable(Record, {});
     setOffered(Record, {});
     Capacity.remove(Index);
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -58,7 +58,7 @@
 
 bool dispatcher::placeRetry(const task_ref &Task) {
   const bool Suspect = isSuspect(Task);
-  if (Suspect && BlockedSuspects[Task.Job->Class]) {
+  if (Suspect && (BlockedSuspects[Task.Job->Class] || awaitsCrashes(Task))) {
     return false;
   }
   const companion_index Companion = findCompanion(Task);
@@ -138,10 +138,24 @@
 }
 
 bool dispatcher::isSuspect(const task_ref &Task) const {
-  return State.Crashes.getCount() > 0 &&
+  return Task.get().Fell ||
          State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index) > 0;
 }
 
+bool dispatcher::awaitsCrashes(const task_ref &Task) const {
+  std::uint32_t Unknown =
+      State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index);
+  for (const give_back &Each : Task.Job->GivenBack) {
+    const companion_record &Record = State.Companions[Each.Companion];
+    const bool IsDown = Record.InUse && Record.Link &&
+                        Record.Id.Incarnation == Each.Incarnation &&
+                        Record.Endpoint.State == endpoint_state::Absent &&
+                        State.now() - Record.ServedAt < EndpointReturnTime;
+    Unknown += Each.Fell && Each.Task == Task.Index && IsDown ? 1 : 0;
+  }
+  return Unknown >= FatalCrashes;
+}
+
 companion_index dispatcher::findCompanion(const task_ref &Task) {
   const job &Job = *Task.Job;
   const bool Suspect = isSuspect(Task);
--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -47,6 +47,9 @@
   /// must tell which of several suspects it counts for, so a companion gets one
   /// at a time.
   bool isSuspect(const task_ref &Task) const;
+  /// \returns whether the task must wait for news of the endpoints that fell
+  /// silent with it, since it may have crashed too many.
+  bool awaitsCrashes(const task_ref &Task) const;
   void place(const task_ref &Task, companion_index Companion, instant Due);
 
   entry_state &State;
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -44,6 +44,7 @@
   bool Written = false;   ///< While Placed: the placement has been flushed.
   bool Withdrawn = false; ///< While Placed: asked back.
   bool Suspect = false;   ///< While Placed: an endpoint has crashed under it.
+  bool Fell = false;      ///< A run ended since its endpoint fell silent.
   std::uint8_t Attempts = 0;
   std::uint32_t Starts = 0;   ///< Placements so far; numbers the next one.
   std::uint32_t Failures = 0; ///< Runs that the endpoint reported as failed.
@@ -58,6 +59,7 @@
   incarnation Incarnation{};
   bool Received = true; ///< False if the placement was lost on its way. Then
                         ///< the companion may be tried again.
+  bool Fell = false;    ///< Its endpoint fell silent with the task.
 
   bool isOf(std::uint32_t Index, companion_index Candidate,
             incarnation Life) const {
--- a/packages/entry/src/task_ends.cpp
+++ b/packages/entry/src/task_ends.cpp
@@ -168,12 +168,18 @@
   }
   Task.Job->MayHaveRun = true;
   ++Task.get().Stops;
+  // Nobody stopped it: its endpoint fell silent, most likely by a crash, which
+  // the companion can't tell before the endpoint is back.
+  const bool EndpointFell =
+      !Stopped.Overdue &&
+      State.Companions[Companion].Endpoint.State == endpoint_state::Absent;
+  Task.get().Fell = Task.get().Fell || EndpointFell;
   const work_class &Class = State.Classes[Task.Job->Class];
   // A run that was cut short tells of its companion only if it was long.
   if (Stopped.RunTime > Class.expect(std::nullopt)) {
     noteSpeed(Companion, Class, Stopped.RunTime);
   }
-  repeat(Companion, Task, Stopped.Reason);
+  repeat(Companion, Task, Stopped.Reason, EndpointFell);
 }
 
 void task_ends::noteSpeed(companion_index Companion, const work_class &Class,
@@ -192,13 +198,14 @@
 }
 
 void task_ends::repeat(companion_index Companion, const task_ref &Task,
-                       const std::string &Reason) {
+                       const std::string &Reason, bool Fell) {
   State.Sink.recordTask(event_kind::TaskRepeated, Task.getId(),
                         State.companionName(Companion), Reason);
   Task.Job->GivenBack.push_back(
       {.Task = Task.Index,
        .Companion = Companion,
-       .Incarnation = State.Companions[Companion].Id.Incarnation});
+       .Incarnation = State.Companions[Companion].Id.Incarnation,
+       .Fell = Fell});
   takeBack(Task);
 }
 
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -50,7 +50,7 @@
   bool mayRepeat(const job &Job) const;
   /// Lets a task whose run has ended wait for another companion.
   void repeat(companion_index Companion, const task_ref &Task,
-              const std::string &Reason);
+              const std::string &Reason, bool Fell = false);
   void learnRoundTrip(companion_index Companion, const task &Task,
                       duration RunTime);
   void release(const task_ref &Task, task_state Next);
--- a/tests/entry/crash_test.cpp
+++ b/tests/entry/crash_test.cpp
@@ -185,6 +185,39 @@
   CHECK_EQUAL(2U, Entry.placed(A).size() + Entry.placed(B).size());
 }
 
+// A companion tells of a crash when its endpoint is back, seconds later; until
+// then the task crashed one endpoint after the other.
+TEST(Crash, ThirdStartWaitsForNewsOfTheEndpointsThatFellSilent) {
+  constexpr link_id C{3};
+  Entry.connect(C, "runner-c", 8, incarnation{3});
+  const request_id Request = Entry.submit(makeJob());
+  std::vector<link_id> Fallen;
+  for (int Round = 0; Round < 3; ++Round) {
+    for (const link_id Link : {A, B, C}) {
+      const auto Placed = Entry.placed(Link);
+      if (Placed.empty()) {
+        continue;
+      }
+      Entry.clear();
+      Fallen.push_back(Link);
+      Entry.receive(Link, {endpoint_report{.State = endpoint_state::Absent}});
+      Entry.end(Link, Placed.back(), task_stopped{.Reason = "lease"});
+      break;
+    }
+    Entry.pass(milliseconds(100));
+  }
+  CHECK_EQUAL(2U, Fallen.size());
+  POINTERS_EQUAL(nullptr, Entry.answerOf(Request));
+  // The first endpoint had not crashed.
+  Entry.receive(Fallen.front(),
+                {endpoint_report{.State = endpoint_state::Serving,
+                                 .Classes = {"fast"},
+                                 .Slots = 8}});
+  Entry.pass(milliseconds(100));
+  CHECK_EQUAL(1U, Entry.placed(A).size() + Entry.placed(B).size() +
+                      Entry.placed(C).size());
+}
+
 TEST_GROUP(CrashMemory) {
   crash_memory Memory;
   instant Now{seconds(1000)};
