--- a/packages/entry/src/dispatcher.h
+++ b/packages/entry/src/dispatcher.h
@@ -48,6 +48,13 @@
   /// \returns whether it did.
   bool setAsideOversized(job &Job);
   companion_index findCompanion(const task_ref &Task);
+  /// \returns whether an endpoint has crashed under \p Task. The next crash
+  /// must tell which of several suspects it counts for, so a companion gets one
+  /// at a time.
+  bool isSuspect(const task_ref &Task) const;
+  /// \returns whether the task must wait for news of the endpoints that fell
+  /// silent with it, since it may have crashed too many.
+  bool awaitsCrashes(const task_ref &Task) const;
   void place(const task_ref &Task, companion_index Companion, instant Due);
 
   entry_state &State;
@@ -55,6 +62,7 @@
   std::unique_ptr<placement_policy> Policy;
   std::uint64_t SeenOffers = 0; ///< When admitFitting() last had to look.
   std::vector<bool> Blocked;    ///< Classes without room in the current run.
+  std::vector<bool> BlockedSuspects; ///< The same for suspects alone.
 };
 
 } // namespace crocuswood::entry
--- a/packages/entry/src/entry_state.h
+++ b/packages/entry/src/entry_state.h
@@ -5,6 +5,7 @@
 #include "action_sink.h"
 #include "class_table.h"
 #include "companion_table.h"
+#include "crash_memory.h"
 #include "generator.h"
 #include "job_table.h"
 #include "overload_guard.h"
@@ -45,6 +46,7 @@
   retry_list Retries;
   std::vector<oversized_job> Oversized; ///< Taken out of the queue.
   companion_table Companions;
+  crash_memory Crashes;
   configuration Configuration;
   std::vector<peer_address> Entries;
   message_counts Messages;
--- a/packages/entry/src/job.h
+++ b/packages/entry/src/job.h
@@ -43,6 +43,8 @@
   task_state State = task_state::Waiting;
   bool Written = false;   ///< While Placed: the placement has been flushed.
   bool Withdrawn = false; ///< While Placed: asked back.
+  bool Suspect = false;   ///< While Placed: an endpoint has crashed under it.
+  bool Fell = false;      ///< A run ended since its endpoint fell silent.
   std::uint8_t Attempts = 0;
   std::uint32_t Starts = 0;   ///< Placements so far; numbers the next one.
   std::uint32_t Failures = 0; ///< Runs that the endpoint reported as failed.
@@ -58,6 +60,7 @@
   bool IsFinal = true; ///< False if the companion may be tried again: the
                        ///< placement was lost on its way, or its endpoint was
                        ///< too small then.
+  bool Fell = false;   ///< Its endpoint fell silent with the task.
 
   bool isOf(std::uint32_t Index, companion_index Candidate,
             incarnation Life) const {
@@ -112,6 +115,11 @@
   bool Parked = false;       ///< Its team is out of starts.
 };
 
+/// \returns the name of \p Job towards endpoints.
+inline std::string runNameOf(const job &Job) {
+  return Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId;
+}
+
 /// A task of a job by its place in memory.
 struct task_ref {
   job *Job = nullptr;
