--- a/tests/runs/capacity_test.cpp
+++ b/tests/runs/capacity_test.cpp
@@ -336,7 +336,7 @@
     }
     const list_request Request = *std::exchange(Listing, std::nullopt);
     if (isLost()) {
-      Supervisor->takeList(Now, std::nullopt);
+      Supervisor->takeList(Now, list_failure::NoAnswer);
     } else {
       Supervisor->takeList(Now, Runner.list(Request));
     }
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -70,8 +70,8 @@
     ListBody = R"({"clock_ms":1,"active":[],"ended_runs":[],"born":)" +
                std::to_string(Born) + "}";
     bool IsDone = false;
-    Runner->list({}, [&](const std::optional<run_list> &List) {
-      CHECK_TRUE(List.has_value());
+    Runner->list({}, [&](const list_outcome &List) {
+      CHECK_TRUE(std::holds_alternative<run_list>(List));
       IsDone = true;
     });
     runUntil(IsDone);
