--- a/packages/entry/src/companion_record.h
+++ b/packages/entry/src/companion_record.h
@@ -20,6 +20,9 @@
   std::uint32_t Room = 0;
 };
 
+/// An endpoint that has crashed is back after some seconds, or not at all.
+constexpr duration EndpointReturnTime = std::chrono::seconds(15);
+
 /// A companion from its first hello until it is lost.
 struct companion_record {
   process_id Id;
@@ -40,6 +43,7 @@
   std::vector<task_ref> Outstanding; ///< Tasks of this entry on it.
   /// Placements that the last load heard can't have counted.
   std::deque<unseen_placement> Unseen;
+  std::uint32_t Suspects = 0;        ///< Outstanding tasks that are suspects.
   std::uint64_t OutstandingRoom = 0; ///< Of the outstanding tasks.
   std::uint64_t UnseenRoom = 0;      ///< Of the unseen placements.
   double Others = 0; ///< Slots or cores of other entries in the last load.
@@ -54,6 +58,7 @@
   double Slowness = 1;
   instant SlownessAt; ///< When it was last learned.
 
+  instant ServedAt; ///< When it was last known to serve, after it has stopped.
   bool SetAside = false;
   std::optional<std::uint32_t> Allowed; ///< Most outstanding tasks while it is
                                         ///< not trusted in full.
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -132,6 +132,7 @@
   Record.Unseen.push_back({.PlacedAt = Now, .Room = Room});
   Record.UnseenRoom += Room;
   Record.OutstandingRoom += Room;
+  Record.Suspects += Placed.Suspect ? 1 : 0;
   Record.UsedMemoryBytes += Placed.Needs.MemoryBytes;
   Record.UsedAccelerators += Placed.Needs.Accelerators;
   refreshRoom(Index, Now);
@@ -146,6 +147,8 @@
   Hole.get().Position = Released.Position;
   Record.Outstanding.pop_back();
   Record.OutstandingRoom -= Released.Room;
+  Record.Suspects -= Released.Suspect ? 1 : 0;
+  Released.Suspect = false;
   Record.UsedMemoryBytes -= Released.Needs.MemoryBytes;
   Record.UsedAccelerators -= Released.Needs.Accelerators;
   Released.Companion = NoCompanion;
@@ -275,6 +278,9 @@
   ++OfferChanges;
   countOthers(Record);
   if (!mayServe(Record)) {
+    if (!Record.Runnable.empty()) {
+      Record.ServedAt = Now;
+    }
     setRunnable(Record, {});
     setOffered(Record, {});
     Capacity.remove(Index);
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -15,6 +15,7 @@
     return;
   }
   Blocked.assign(State.Classes.getCount(), false);
+  BlockedSuspects.assign(State.Classes.getCount(), false);
   runRetries();
   while (true) {
     auto Choice = chooseOnTime();
@@ -76,8 +77,13 @@
 }
 
 bool dispatcher::placeRetry(const task_ref &Task) {
+  const bool Suspect = isSuspect(Task);
+  if (Suspect && (BlockedSuspects[Task.Job->Class] || awaitsCrashes(Task))) {
+    return false;
+  }
   const companion_index Companion = findCompanion(Task);
   if (Companion == NoCompanion) {
+    BlockedSuspects[Task.Job->Class] = Suspect;
     return false;
   }
   State.Retries.spend();
@@ -129,10 +135,14 @@
 
 bool dispatcher::placeNext(const choice &Choice) {
   job &Job = *Choice.Job;
-  const companion_index Companion =
-      findCompanion({.Job = &Job, .Index = Job.NextFresh});
-  if (Companion == NoCompanion) {
-    return setAsideOversized(Job);
+  const task_ref Next{.Job = &Job, .Index = Job.NextFresh};
+  const companion_index Companion = findCompanion(Next);
+  const bool Waits = Companion == NoCompanion;
+  if (Waits && setAsideOversized(Job)) {
+    return true;
+  }
+  if (Waits && !isSuspect(Next)) {
+    return false;
   }
   if (!State.Teams.takeStart(Job.Team, State.now())) {
     State.Queue.park(Job);
@@ -140,6 +150,11 @@
     return true;
   }
   const std::uint32_t Index = State.Queue.take(Job, State.now());
+  if (Waits) {
+    // The tasks behind a suspect need not wait with it.
+    State.Retries.add({.Job = Job.Id, .Index = Index});
+    return true;
+  }
   State.Retries.notePlacement();
   place({.Job = &Job, .Index = Index}, Companion, Choice.Due);
   return true;
@@ -154,10 +169,31 @@
   return true;
 }
 
+bool dispatcher::isSuspect(const task_ref &Task) const {
+  return Task.get().Fell ||
+         State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index) > 0;
+}
+
+bool dispatcher::awaitsCrashes(const task_ref &Task) const {
+  std::uint32_t Unknown =
+      State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index);
+  for (const give_back &Each : Task.Job->GivenBack) {
+    const companion_record &Record = State.Companions[Each.Companion];
+    const bool IsDown = Record.InUse && Record.Link &&
+                        Record.Id.Incarnation == Each.Incarnation &&
+                        Record.Endpoint.State == endpoint_state::Absent &&
+                        State.now() - Record.ServedAt < EndpointReturnTime;
+    Unknown += Each.Fell && Each.Task == Task.Index && IsDown ? 1 : 0;
+  }
+  return Unknown >= FatalCrashes;
+}
+
 companion_index dispatcher::findCompanion(const task_ref &Task) {
   const job &Job = *Task.Job;
+  const bool Suspect = isSuspect(Task);
   const auto MayTake = [&](companion_index Candidate) {
-    if (!State.Companions.hasNeeds(Candidate, Task.get().Needs)) {
+    if (!State.Companions.hasNeeds(Candidate, Task.get().Needs) ||
+        (Suspect && State.Companions[Candidate].Suspects > 0)) {
       return false;
     }
     const incarnation Life = State.Companions[Candidate].Id.Incarnation;
@@ -188,6 +224,7 @@
   ++Job.Placed;
   Placed.Written = false;
   Placed.Withdrawn = false;
+  Placed.Suspect = isSuspect(Task);
   State.Teams.addWaiting(Job.Team, -1);
   State.Companions.assign(Task, Companion, State.now());
   place_task Message{.Task = Task.getId(),
@@ -197,10 +234,10 @@
                      .ExpectedRunTime = Class.expect(Placed.DeclaredRunTime),
                      .Needs = Placed.Needs,
                      .Pool = poolOf(Class.Spec),
-                     .RunName =
-                         Job.CallerId.empty() ? toString(Job.Id) : Job.CallerId,
+                     .RunName = runNameOf(Job),
                      .Attempt = ++Placed.Starts,
                      .Priority = Class.Spec.Priority};
+  Message.Crashes = State.Crashes.getCrashes(Message.RunName, Task.Index);
   if (Job.Repeatable) {
     Message.RunLimit = Class.getRunLimit(Placed.Stops);
   }
--- a/packages/entry/src/task_ends.h
+++ b/packages/entry/src/task_ends.h
@@ -22,6 +22,9 @@
   void takeBackUnwritten(companion_index Companion);
   /// Notes that \p Task has started although its end is not known yet.
   void noteRunning(companion_index Companion, const task_id &Task);
+  /// Takes the crashes that a companion has seen, of tasks of any entry. A live
+  /// job with a task that has crashed too many endpoints fails.
+  void takeCrashes(companion_index Companion, const crash_report &Report);
   /// Notes that the ends of all tasks on a companion will never be known. With
   /// leases nothing of them runs any more.
   void loseAll(companion_index Companion, const std::string &Reason);
@@ -47,7 +50,7 @@
   bool mayRepeat(const job &Job) const;
   /// Lets a task whose run has ended wait for another companion.
   void repeat(companion_index Companion, const task_ref &Task,
-              const std::string &Reason);
+              const std::string &Reason, bool Fell = false);
   void learnRoundTrip(companion_index Companion, const task &Task,
                       duration RunTime);
   void release(const task_ref &Task, task_state Next);
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -60,6 +60,7 @@
     "store_up",
     "turn_slow",
     "input_dropped",
+    "endpoint_crashed",
 };
 static_assert(!KindNames.back().empty());
 
--- a/programs/crocuswoodd/observer_duty.cpp
+++ b/programs/crocuswoodd/observer_duty.cpp
@@ -33,7 +33,7 @@
       event_kind::StoreDown,        event_kind::StoreUp,
       event_kind::EntryOverloaded,  event_kind::EntryRecovered,
       event_kind::TaskUncertain,    event_kind::TurnSlow,
-      event_kind::InputDropped};
+      event_kind::InputDropped,     event_kind::EndpointCrashed};
   return Kinds;
 }
 
