Keep the signal handlers to the end and fail late jobs once

A signal between the end of main's objects and of the process had its default action, and jobs that were left at the limit of a stop were listed anew at every event until the last was answered, on the smallest entries just when they are busiest.

Change: the handlers are static, which quick_exit() leaves alone; the jobs are failed once, since none is taken after that moment.

--- a/packages/entry/src/core_implementation.cpp
+++ b/packages/entry/src/core_implementation.cpp
@@ -127,7 +127,8 @@
 }
 
 void core::implementation::failLateJobs() {
-  if (hasEndedJobs()) {
+  if (hasEndedJobs() && !LateJobsFailed) {
+    LateJobsFailed = true;
     Jobs.failAll({.Code = failure_code::Stopping,
                   .Reason = "The entry stops before the job could end."});
   }
--- a/packages/entry/src/core_implementation.h
+++ b/packages/entry/src/core_implementation.h
@@ -57,6 +57,7 @@
   std::optional<instant> WakeAt;     ///< As last asked for.
   std::optional<instant> IntakeEnds; ///< While draining.
   std::optional<instant> JobsEnd;    ///< While draining, if it is bounded.
+  bool LateJobsFailed = false;
   bool StopReported = false;
   instant AwaySince; ///< When callers were last sent away or taken back.
   bool SteersAway = false;
--- a/programs/crocuswoodd/main.cpp
+++ b/programs/crocuswoodd/main.cpp
@@ -95,7 +95,8 @@
   }
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  process_signals Signals;
+  // Static, so that the handlers last until quick_exit().
+  static process_signals Signals;
   if (Arguments->Role == "entry") {
     return runWith(settings::parseEntry(*Text, Arguments->SettingsFile),
                    Arguments->SettingsFile, Signals, runEntry);
