--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -76,15 +77,29 @@
     });
     runUntil(IsDone);
   }
+  /// Starts a run. \returns how the order ended.
+  order_outcome start() {
+    order_outcome Taken;
+    bool IsDone = false;
+    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"}},
+                  [&](const order_outcome &Outcome) {
+                    Taken = Outcome;
+                    IsDone = true;
+                  });
+    runUntil(IsDone);
+    return Taken;
+  }
   std::uint32_t getCores() const { return Announced.back().Offer.MilliCores; }
 
   boost::asio::io_context Context;
-  std::string ListBody;
+  std::string ListBody; ///< Of the answers to all orders.
+  unsigned OrderStatus = 200;
   http::plain_server Orders{Context,
                             {},
                             [this](const http::plain_request & /*Request*/,
                                    const http::plain_server::respond &Respond) {
-                              Respond({.Body = ListBody});
+                              Respond(
+                                  {.Status = OrderStatus, .Body = ListBody});
                             }};
   http::plain_client Client{Context, 1, Limit};
   std::vector<companion::endpoint_announcement> Announced;
@@ -133,3 +148,21 @@
   beat("i-1", makeBeat(7'000, 2, 2'000));
   CHECK_EQUAL(2'000U, getCores());
 }
+
+// Guards against a reason that is nested so deep that reading it takes minutes,
+// or printing it overflows the stack and ends the companion.
+TEST(RunnerHeartbeats, ADeepReasonOfARefusalIsLeftOut) {
+  constexpr std::size_t Levels = 200'000;
+  OrderStatus = 409;
+  ListBody = R"({"clock_ms":1,"reason":)" + std::string(Levels, '[') +
+             std::string(Levels, ']') + "}";
+  const order_outcome Outcome = start();
+  CHECK_TRUE(order_status::Refused == Outcome.Status);
+  STRCMP_EQUAL("status 409", Outcome.Reason.c_str());
+}
+
+TEST(RunnerHeartbeats, ALongReasonOfARefusalIsCut) {
+  OrderStatus = 409;
+  ListBody = R"({"clock_ms":1,"reason":")" + std::string(100'000, 'x') + "\"}";
+  CHECK_TRUE(start().Reason.size() < 1'000);
+}
