Fence orders of earlier lives and count crashes only for what ran

Cause: an order carried nothing that tells lives of a companion or an endpoint apart, and a new life of the endpoint ended all runs, also those whose orders may have reached it. Change: every order carries a fence, the companion's time, raised when the endpoint begins a new life or has seen a greater one. A run counts as ended once a listing with a greater fence does not show it. A crash is told for runs that were confirmed or listed; for others only that they may have run.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -124,8 +124,10 @@
 struct endpoint_settled {};
 /// The endpoint has crashed. Precedes the ends of the runs that it took along.
 struct endpoint_crashed {
-  /// What was on it, with the crashes that were known before.
+  /// What ran on it, with the crashes that were known before.
   std::vector<crashed_task> Tasks;
+  /// Other tasks had been ordered there, and may have run.
+  bool MayHaveOthers = false;
 };
 /// The endpoint no longer answers, whatever it last announced.
 struct endpoint_silent {
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -175,6 +175,9 @@
   payload Input;
   std::string Life; ///< Of the endpoint that is meant; another one refuses.
   duration Lease{}; ///< For everything on the endpoint, from the sending on.
+  /// An endpoint refuses orders whose number is smaller than one that it has
+  /// seen in its life.
+  std::uint64_t Fence = 0;
 
   friend bool operator==(const start_order &, const start_order &) = default;
 };
@@ -196,6 +199,7 @@
   std::uint64_t Acknowledged = 0; ///< Ends up to this number may be forgotten.
   std::optional<duration> Lease;  ///< From the sending on; nothing renews none.
   duration Wait{}; ///< The endpoint answers by then, or at the next end.
+  std::uint64_t Fence = 0; ///< As in start_order.
 
   friend bool operator==(const list_request &, const list_request &) = default;
 };
@@ -225,6 +229,7 @@
 enum class list_failure : std::uint8_t {
   NoAnswer,
   Refused, ///< The connection was: probably no process listens.
+  Fenced,  ///< The endpoint has seen a greater fence.
 };
 using list_outcome = std::variant<run_list, list_failure>;
 
@@ -235,7 +240,7 @@
   virtual void start(start_order Order,
                      std::function<void(order_outcome)> Done) = 0;
   /// Stops \p Run. A run that has not begun is barred from beginning.
-  virtual void stop(const run_id &Run,
+  virtual void stop(const run_id &Run, std::uint64_t Fence,
                     std::function<void(order_outcome)> Done) = 0;
   virtual void list(list_request Request,
                     std::function<void(list_outcome)> Done) = 0;
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -53,6 +53,7 @@
 };
 struct send_stop {
   run_id Run;
+  std::uint64_t Fence = 0; ///< As in start_order.
 };
 struct send_list {
   list_request Request;
@@ -65,7 +66,8 @@
 
 /// Knows of every run whether it may still go on. A run is reported as ended
 /// only with proof: a listed end, a refusal, a listing from after a confirmed
-/// stop, or a lease that was not renewed.
+/// stop or with a greater fence than the start's, or a lease that was not
+/// renewed.
 class supervisor {
 public:
   supervisor(options Options, instant Now);
@@ -105,13 +107,15 @@
     std::string Class;
     std::uint32_t Crashes = 0; ///< Of endpoints under earlier starts.
     phase Phase = phase::Ordered;
-    std::string Life;
+    std::uint64_t Fence = 0;            ///< Of the start.
     std::optional<instant> ConfirmedAt; ///< Of the start.
     instant UnclearAt;                  ///< While Unclear: since when.
     std::optional<instant> StopAskedAt; ///< First stop.
     std::optional<instant> StopSentAt;  ///< Latest stop.
     std::optional<instant> StoppedAt;   ///< First confirmed stop.
     bool Seen = false;                  ///< Listed as active.
+    /// The endpoint has begun a new life, which lists no ends of earlier ones.
+    bool Outlived = false;
   };
   using run_map = std::map<run_id, run>;
 
@@ -126,7 +130,13 @@
   void fallSilent(const std::string &Reason);
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
-  void changeLife(const std::string &Life);
+  void changeLife(instant Now, const std::string &Life);
+  /// The endpoint has seen a greater fence, of an earlier life of this
+  /// companion whose clock was ahead.
+  void raiseFence();
+  /// \returns whether \p Run is known to have been on the endpoint.
+  static bool isProved(const run &Run) { return Run.ConfirmedAt || Run.Seen; }
+  void rememberProved();
   /// Tells the core what was on the endpoint when it crashed.
   void reportCrash();
   /// Does so if an endpoint whose leases have ended is probably gone.
@@ -151,10 +161,17 @@
   std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
   /// Runs that ended with their lease, whose endpoint has not answered since.
   std::deque<crashed_task> EndedUnseen;
+  /// So did others that are not known to have begun.
+  bool EndedUnproved = false;
   bool Departing = false; ///< The endpoint ends as planned.
   bool Refuses = false;   ///< The latest listing was refused a connection.
   bool CrashTold = false; ///< Nothing has been started or listed since.
   std::uint64_t Acknowledged = 0;
+  /// Sent with every order, so that those of earlier lives of this companion
+  /// and of the endpoint are refused once a listing has carried it.
+  std::uint64_t Fence = 0;
+  std::uint64_t FenceStep = 1; ///< Microseconds; doubles with each refusal.
+  std::uint64_t ListFence = 0; ///< Of the latest listing.
   bool Listing = false;
   bool ListLost = false; ///< The latest listing had no answer.
   instant ListSentAt;
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -9,12 +9,16 @@
 
 /// Far more than run on an endpoint at a time.
 constexpr std::size_t MaxEndedUnseen = 1'024;
+/// The time of day may have gone back by minutes between two lives.
+constexpr std::uint64_t FirstFenceStep = 1'000'000;
 
 } // namespace
 
 supervisor::supervisor(options Options, instant Now)
     // An earlier life of this companion may have renewed the lease just now.
-    : Options(Options), ListedAt(Now), RenewedAt(Now) {}
+    : Options(Options),
+      Fence(static_cast<std::uint64_t>(Now.time_since_epoch().count())),
+      FenceStep(FirstFenceStep), ListedAt(Now), RenewedAt(Now) {}
 
 std::vector<step> supervisor::takeSteps() { return std::exchange(Steps, {}); }
 
@@ -35,14 +39,15 @@
   Runs.emplace(Id, run{.Task = Start.Task,
                        .Class = std::move(Start.Class),
                        .Crashes = Start.Crashes,
-                       .Life = Life});
+                       .Fence = Fence});
   ByTask[Start.Task] = Id;
   RenewedAt = Now;
   CrashTold = false;
   Steps.emplace_back(send_start{.Order = {.Run = Id,
                                           .Input = std::move(Start.Input),
                                           .Life = Life,
-                                          .Lease = Options.Lease}});
+                                          .Lease = Options.Lease,
+                                          .Fence = Fence}});
 }
 
 void supervisor::stop(instant Now, const task_id &Task) {
@@ -59,7 +64,7 @@
 void supervisor::sendStop(instant Now, const run_id &Id, run &Run) {
   Run.StopAskedAt = Run.StopAskedAt.value_or(Now);
   Run.StopSentAt = Now;
-  Steps.emplace_back(send_stop{.Run = Id});
+  Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
 }
 
 void supervisor::takeStartOutcome(instant Now, const run_id &Id,
@@ -108,6 +113,11 @@
 void supervisor::takeList(instant Now, const list_outcome &Outcome) {
   Listing = false;
   if (const auto *Failure = std::get_if<list_failure>(&Outcome)) {
+    if (*Failure == list_failure::Fenced) {
+      raiseFence();
+      sendList(Now);
+      return;
+    }
     takeListFailure(Now, *Failure);
     return;
   }
@@ -116,10 +126,11 @@
   Refuses = false;
   ListedAt = Now;
   if (List.Life != Life) {
-    changeLife(List.Life);
+    changeLife(Now, List.Life);
   }
   // The endpoint is in the life in which these runs lost their lease.
   EndedUnseen.clear();
+  EndedUnproved = false;
   CrashTold = false;
   takeEnds(List);
   const std::set<run_id> Active(List.Active.begin(), List.Active.end());
@@ -143,6 +154,11 @@
   checkSilence(Now);
 }
 
+void supervisor::raiseFence() {
+  Fence += FenceStep;
+  FenceStep *= 2;
+}
+
 void supervisor::fallSilent(const std::string &Reason) {
   if (!Silent) {
     Silent = true;
@@ -206,7 +222,8 @@
     const bool Expired =
         Run.Phase == phase::Unclear && Run.StopAskedAt &&
         ListSentAt - *Run.StopAskedAt >= Options.Lease + Options.LeaseMargin;
-    if (Confirmed || Stopped || Expired) {
+    const bool Fenced = Run.Fence < ListFence;
+    if (Confirmed || Stopped || Expired || Fenced) {
       endRun(Each,
              Stopped ? "stopped by order" : "the endpoint has no such run");
     }
@@ -223,14 +240,14 @@
     const auto [Place, Added] = Foreign.try_emplace(Id, Now);
     if (Added || Now - Place->second >= Options.StopRetry) {
       Place->second = Now;
-      Steps.emplace_back(send_stop{.Run = Id});
+      Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
     }
   }
 }
 
-void supervisor::noteLife(instant /*Now*/, const std::string &Announced) {
+void supervisor::noteLife(instant Now, const std::string &Announced) {
   if (!Life.empty() && Announced != Life) {
-    changeLife(Announced);
+    changeLife(Now, Announced);
   }
 }
 
@@ -238,19 +255,37 @@
   Departing = Departing || Announced == Life;
 }
 
-void supervisor::changeLife(const std::string &Next) {
-  for (const auto &[Id, Run] : Runs) {
-    rememberUnseen(describe(Id, Run));
-  }
+void supervisor::changeLife(instant Now, const std::string &Next) {
+  rememberProved();
   reportCrash();
   Departing = false;
-  // A restarted endpoint runs nothing that was started before.
-  endAll("the endpoint has restarted");
+  // A restarted endpoint runs nothing that was listed before. Other orders may
+  // have reached it in its new life, or may do so until it knows a new fence.
+  for (auto Place = Runs.begin(); Place != Runs.end();) {
+    const auto Each = Place++;
+    Each->second.Outlived = true;
+    if (Each->second.Seen) {
+      endRun(Each, "the endpoint has restarted");
+    }
+  }
+  Fence = std::max(Fence + 1,
+                   static_cast<std::uint64_t>(Now.time_since_epoch().count()));
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
 }
 
+// A run that was ordered without any proof may never have begun.
+void supervisor::rememberProved() {
+  for (const auto &[Id, Run] : Runs) {
+    if (isProved(Run)) {
+      rememberUnseen(describe(Id, Run));
+    } else {
+      EndedUnproved = true;
+    }
+  }
+}
+
 void supervisor::rememberUnseen(crashed_task Task) {
   EndedUnseen.push_back(std::move(Task));
   if (EndedUnseen.size() > MaxEndedUnseen) {
@@ -261,11 +296,13 @@
 void supervisor::reportCrash() {
   const std::vector<crashed_task> Tasks(EndedUnseen.begin(), EndedUnseen.end());
   EndedUnseen.clear();
+  const bool MayHaveOthers = std::exchange(EndedUnproved, false);
   if (Life.empty() || Departing || CrashTold) {
     return;
   }
   CrashTold = true;
-  tell(companion::endpoint_crashed{.Tasks = Tasks});
+  tell(companion::endpoint_crashed{.Tasks = Tasks,
+                                   .MayHaveOthers = MayHaveOthers});
 }
 
 // The life of an endpoint that is back tells for certain, but only after
@@ -294,7 +331,7 @@
 
 void supervisor::endRun(run_map::iterator Place, const std::string &Reason) {
   const task_id Task = Place->second.Task;
-  const bool MayHaveBegun = Place->second.ConfirmedAt || Place->second.Seen;
+  const bool MayHaveBegun = isProved(Place->second) || Place->second.Outlived;
   ByTask.erase(Task);
   Runs.erase(Place);
   if (MayHaveBegun) {
@@ -318,9 +355,7 @@
   if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
     return;
   }
-  for (const auto &[Id, Run] : Runs) {
-    rememberUnseen(describe(Id, Run));
-  }
+  rememberProved();
   checkGone(Now);
   endAll("its lease ended unseen");
   // Nothing that an earlier life started can have a lease any more.
@@ -344,7 +379,10 @@
   Listing = true;
   ListSentAt = Now;
   list_request Request{.Acknowledged = Acknowledged,
-                       .Wait = ListLost ? duration::zero() : Options.ListWait};
+                       .Wait = ListLost || Life.empty() ? duration::zero()
+                                                        : Options.ListWait,
+                       .Fence = Fence};
+  ListFence = Fence;
   // The endpoint's clock is not known before its first listing.
   if (!Life.empty() && mayRenew(Now)) {
     Request.Lease = Options.Lease;
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -116,11 +116,12 @@
                                 });
                  },
                  [&](const runs::send_stop &Send) {
-                   Runner.stop(Send.Run, [this, Run = Send.Run](
-                                             const order_outcome &Outcome) {
-                     Supervisor.takeStopOutcome(Clock.now(), Run, Outcome);
-                     carryOut();
-                   });
+                   Runner.stop(
+                       Send.Run, Send.Fence,
+                       [this, Run = Send.Run](const order_outcome &Outcome) {
+                         Supervisor.takeStopOutcome(Clock.now(), Run, Outcome);
+                         carryOut();
+                       });
                  },
                  [&](const runs::send_list &Send) {
                    Runner.list(Send.Request, [this](const list_outcome &List) {
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -166,3 +166,18 @@
   ListBody = R"({"clock_ms":1,"reason":")" + std::string(100'000, 'x') + "\"}";
   CHECK_TRUE(start().Reason.size() < 1'000);
 }
+
+// Without it a companion would wait for ever for a runner that has seen a
+// greater fence.
+TEST(RunnerHeartbeats, AListingThatIsRefusedForItsFenceIsToldApart) {
+  OrderStatus = 409;
+  ListBody = R"({"clock_ms":1,"reason":"fence"})";
+  bool IsDone = false;
+  list_outcome Taken;
+  Runner->list({}, [&](const list_outcome &List) {
+    Taken = List;
+    IsDone = true;
+  });
+  runUntil(IsDone);
+  CHECK_TRUE(list_outcome(list_failure::Fenced) == Taken);
+}
