Give a task up only for a crash while it ran alone

A sound job beside deadly tasks was shown as failed (LOST): two crashes counted for its task, of which one had not even begun there, and any crash counted for what was beside the task at fault, or for a sound suspect in place of it. Change: a crash counts for all tasks that were known to run, up to two. A task with two runs alone on its endpoint, and the next crash gives it up; so does the second if it ran alone. Reports of several companions add up to two only. The entry waits for news only while a crash is unknown.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -310,8 +310,7 @@
 }
 
 void core::implementation::on(const step &Step, endpoint_crashed &Event) {
-  const crash_report Counted =
-      Crashes.count(Step, Endpoint.getName(), std::move(Event.Tasks));
+  const crash_report Counted = Crashes.count(Step, Endpoint.getName(), Event);
   if (!Counted.Tasks.empty()) {
     Links.broadcast(Counted);
   }
--- a/packages/companion/src/crash_ledger.cpp
+++ b/packages/companion/src/crash_ledger.cpp
@@ -15,6 +15,15 @@
 /// Named in one line of the log.
 constexpr std::size_t MaxDescribed = 4;
 
+// A crash tells of a single task only if nothing else ran.
+std::uint32_t countNext(std::uint32_t Crashes, bool WasAlone) {
+  const std::uint32_t Next = Crashes + 1;
+  if (WasAlone && Next >= AloneCrashes) {
+    return FatalCrashes;
+  }
+  return std::min(Next, AloneCrashes);
+}
+
 // About the tasks that a crash counts for.
 std::string describe(const std::vector<crashed_task> &Tasks) {
   if (Tasks.empty()) {
@@ -36,21 +45,17 @@
 } // namespace
 
 crash_report crash_ledger::count(const step &Step, const std::string &Endpoint,
-                                 std::vector<crashed_task> Tasks) {
+                                 const endpoint_crashed &Crash) {
+  std::vector<crashed_task> Tasks = Crash.Tasks;
+  const bool WasAlone = Tasks.size() == 1 && !Crash.MayHaveOthers;
   timeline_event Event = makeEvent(event_kind::EndpointCrashed, Endpoint);
   Event.Value = static_cast<std::int64_t>(Tasks.size());
-  std::uint32_t Most = 0;
   for (crashed_task &Task : Tasks) {
     const auto Known = Records.find({Task.RunName, Task.Index});
     if (Known != Records.end()) {
       Task.Crashes = std::max(Task.Crashes, Known->second.Task.Crashes);
     }
-    Most = std::max(Most, Task.Crashes);
-  }
-  std::erase_if(
-      Tasks, [Most](const crashed_task &Task) { return Task.Crashes < Most; });
-  for (crashed_task &Task : Tasks) {
-    ++Task.Crashes;
+    Task.Crashes = countNext(Task.Crashes, WasAlone);
     remember(Step.Now, Task);
   }
   forgetOld(Step.Now);
--- a/packages/companion/src/crash_ledger.h
+++ b/packages/companion/src/crash_ledger.h
@@ -19,12 +19,11 @@
 /// link later. Bounded in number and age.
 class crash_ledger {
 public:
-  /// Counts a crash with \p Tasks on the endpoint. If endpoints have crashed
-  /// under some of them before, it counts for those with the most crashes only:
-  /// the others would be given up for their neighbour. \returns the tasks that
-  /// it counts for, with their new numbers.
+  /// Counts a crash of \p Endpoint for all tasks that ran on it, up to
+  /// AloneCrashes. The second crash of a task that ran alone shows that it is
+  /// at fault. \returns these tasks with their new numbers.
   crash_report count(const step &Step, const std::string &Endpoint,
-                     std::vector<crashed_task> Tasks);
+                     const endpoint_crashed &Crash);
   /// \returns all tasks that are remembered.
   crash_report list(instant Now);
 
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -190,6 +190,7 @@
   UsedMemoryBytes -= Run.Needs.MemoryBytes;
   UsedAccelerators -= Run.Needs.Accelerators;
   UsedRoom -= Run.Room;
+  AloneRuns -= Run.Alone ? 1 : 0;
   if (Run.OverdueAt) {
     Overdue.erase({*Run.OverdueAt, Task});
   }
@@ -202,7 +203,8 @@
   while (hasFreeSlot()) {
     const queued_task *First = Queue.getFirst(
         [&](incarnation Entry) { return isVouchedFor(Entry, Step.Now); });
-    if (First == nullptr || !hasResourcesFor(First->Placement)) {
+    if (First == nullptr || !mayRunBeside(First->Placement) ||
+        !hasResourcesFor(First->Placement)) {
       return;
     }
     start(Step, *Queue.remove(First->Placement.Task));
@@ -230,6 +232,8 @@
                    .Endpoint = Endpoint.getAddress(),
                    .Needs = needsOf(Placement)};
   Run.Room = roomFor(Endpoint.getReport(), Run.Needs);
+  Run.Alone = Placement.Crashes >= AloneCrashes;
+  AloneRuns += Run.Alone ? 1 : 0;
   UsedMemoryBytes += Run.Needs.MemoryBytes;
   UsedAccelerators += Run.Needs.Accelerators;
   UsedRoom += Run.Room;
@@ -267,6 +271,11 @@
          UsedRoom < capacityOf(Report);
 }
 
+bool task_desk::mayRunBeside(const place_task &Placement) const {
+  return AloneRuns == 0 &&
+         (Placement.Crashes < AloneCrashes || Running.empty());
+}
+
 bool task_desk::hasResourcesFor(const place_task &Placement) const {
   const task_needs Needs = needsOf(Placement);
   const endpoint_report Report = Endpoint.getReport();
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -98,6 +98,7 @@
     std::optional<instant> OverdueAt;
     bool Overdue = false; ///< It is stopped for that reason.
     bool StopAsked = false;
+    bool Alone = false; ///< Nothing else may run beside it.
   };
 
   std::optional<ended_run> takeRunning(const step &Step, const task_id &Task);
@@ -113,6 +114,8 @@
   void start(const step &Step, queued_task Task);
   void askToStop(const step &Step, const task_id &Task);
   bool hasResourcesFor(const place_task &Placement) const;
+  /// \returns whether nothing has to run alone, \p Placement or a running task.
+  bool mayRunBeside(const place_task &Placement) const;
   /// \returns what the task needs, with the class's needs filled in.
   task_needs needsOf(const place_task &Placement) const;
   const class_spec *findClass(const std::string &Name) const;
@@ -135,6 +138,7 @@
   std::uint64_t UsedMemoryBytes = 0;
   std::uint32_t UsedAccelerators = 0;
   std::uint32_t UsedRoom = 0;
+  std::uint32_t AloneRuns = 0; ///< Running tasks that must be alone; 1 at most.
   bool CountsProcessor = false; ///< What UsedRoom counts, or else slots.
   std::uint64_t Started = 0;
   companion_load Load;
--- a/packages/entry/src/crash_memory.cpp
+++ b/packages/entry/src/crash_memory.cpp
@@ -18,7 +18,8 @@
   if (Record.Reporters.size() < MaxReporters) {
     Record.Reporters.insert(digest(Reporter));
   }
-  const auto Reporters = static_cast<std::uint32_t>(Record.Reporters.size());
+  const auto Reporters = std::min(
+      AloneCrashes, static_cast<std::uint32_t>(Record.Reporters.size()));
   const std::uint32_t Crashes = std::max(Task.Crashes, Reporters);
   if (Crashes <= Record.Crashes) {
     return false;
--- a/packages/entry/src/crash_memory.h
+++ b/packages/entry/src/crash_memory.h
@@ -14,9 +14,6 @@
 
 namespace crocuswood::entry {
 
-/// A task is given up once this many endpoints have crashed under it.
-constexpr std::uint32_t FatalCrashes = 2;
-
 /// A task of a job and the crashes under it.
 struct task_crashes {
   std::uint32_t Index = 0; ///< Within its job.
@@ -37,7 +34,8 @@
   static constexpr duration MaxAge = std::chrono::minutes(10);
 
   /// Takes what the companion \p Reporter tells. It may not have known of other
-  /// crashes, so there were at least as many as companions that tell of one.
+  /// crashes, so there were at least as many as companions that tell of one;
+  /// these alone don't give a task up.
   /// \returns whether \p Task has crashed more endpoints than was known.
   bool note(const std::string &RunName, const task_crashes &Task,
             const std::string &Reporter, instant Now);
--- a/packages/entry/src/dispatcher.cpp
+++ b/packages/entry/src/dispatcher.cpp
@@ -175,8 +175,9 @@
 }
 
 bool dispatcher::awaitsCrashes(const task_ref &Task) const {
-  std::uint32_t Unknown =
+  const std::uint32_t Known =
       State.Crashes.getCrashes(runNameOf(*Task.Job), Task.Index);
+  std::uint32_t Unknown = 0;
   for (const give_back &Each : Task.Job->GivenBack) {
     const companion_record &Record = State.Companions[Each.Companion];
     const bool IsDown = Record.InUse && Record.Link &&
@@ -185,7 +186,7 @@
                         State.now() - Record.ServedAt < EndpointReturnTime;
     Unknown += Each.Fell && Each.Task == Task.Index && IsDown ? 1 : 0;
   }
-  return Unknown >= FatalCrashes;
+  return Unknown > 0 && Known + Unknown >= AloneCrashes;
 }
 
 companion_index dispatcher::findCompanion(const task_ref &Task) {
--- a/packages/entry/src/submission_check.cpp
+++ b/packages/entry/src/submission_check.cpp
@@ -33,9 +33,9 @@
 job_failure failureOf(const task_crashes &Task) {
   return {.Code = failure_code::TaskFailed,
           .Certainty = run_certainty::MayHaveRun,
-          .Reason = std::to_string(Task.Crashes) +
-                    " endpoints crashed under task " +
-                    std::to_string(Task.Index) + ".",
+          .Reason = "Endpoints crashed again and again under task " +
+                    std::to_string(Task.Index) +
+                    ", the last while it ran alone.",
           .Task = Task.Index};
 }
 
--- a/packages/model/include/crocuswood/model/peer_message.h
+++ b/packages/model/include/crocuswood/model/peer_message.h
@@ -330,14 +330,22 @@
   friend bool operator==(const load_report &, const load_report &) = default;
 };
 
+/// A task with this many crashes runs alone on its endpoint, so that the next
+/// crash tells whether it is at fault.
+constexpr std::uint32_t AloneCrashes = 2;
+/// A task is given up at this number. Only a crash while it runs alone brings
+/// it there, so that no task is given up for its neighbours.
+constexpr std::uint32_t FatalCrashes = 3;
+
 /// A task under which endpoints have crashed. The names are those towards
 /// endpoints, so that they outlive an entry and a resubmission.
 struct crashed_task {
   std::string RunName;
   std::uint32_t Index = 0; ///< Within its job.
   std::string Class;
-  /// Endpoints that have crashed, earlier ones included. Of several reports of
-  /// one task the greatest number holds.
+  /// Endpoints that have crashed, earlier ones included, or FatalCrashes once
+  /// the task is known to be at fault. Of several reports of one task the
+  /// greatest number holds.
   std::uint32_t Crashes = 0;
 
   friend bool operator==(const crashed_task &, const crashed_task &) = default;
