Explore schedules of faults over the real cores

Change: tests/explorer plays two entries, two companions with their supervisors, two endpoints and callers in virtual time, with a fault at any message, order or answer. Eight of nine guards taken out break a promise with a kept schedule.

--- /dev/null
+++ b/tests/explorer/explorer_test.cpp
@@ -0,0 +1,116 @@
+// Schedules of faults over the real cores: two runs of one task, a room that is
+// exceeded, a false refusal, a job without an answer or failed without cause.
+#include "search.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood::explorer;
+
+namespace {
+
+constexpr std::uint64_t RandomSchedules = 4'000;
+constexpr std::uint64_t FirstSeed = 1;
+constexpr unsigned RandomFaults = 6;
+
+/// A schedule that breaks a promise without one guard of the protocol.
+struct guard_case {
+  guard Guard;
+  const char *Scenario;
+  const char *Schedule;
+};
+
+const std::vector<guard_case> GuardCases{
+    {guard::LossWait, "one-task", "0:3,32:1"},
+    {guard::EntryLease, "one-task", "0:5,18:0"},
+    {guard::LeaseMargin, "one-task", "13:0,42:1"},
+    {guard::EndpointSettled, "one-task", "3:0"},
+    {guard::Stop, "deadly", "3:4,4:3"},
+    {guard::Fence, "one-task", "1:3,3:6"},
+    {guard::Resume, "two-jobs", "0:9,24:2"},
+    {guard::EndpointLease, "one-task", "1:4,12:4"},
+};
+
+std::string describe(const scenario &Scenario, const counterexample &Found) {
+  return Scenario.Name + " " + toString(Found.Schedule) + ": " +
+         Found.Violation + "\n" + Found.Story;
+}
+
+/// \returns what the schedule of \p Case breaks, or nothing.
+std::optional<counterexample> playCase(const guard_case &Case, bool WithGuard) {
+  scenario Scenario = findScenario(Case.Scenario).value();
+  if (!WithGuard) {
+    Scenario.Without = Case.Guard;
+  }
+  return play(Scenario, parseSchedule(Case.Schedule).value());
+}
+
+} // namespace
+
+TEST_GROUP(Explorer){};
+
+TEST(Explorer, WithoutFaultsEveryJobCompletes) {
+  for (const scenario &Scenario : listScenarios()) {
+    if (Scenario.Deadly) {
+      continue;
+    }
+    const schedule None;
+    CHECK_FALSE(play(Scenario, None).has_value());
+  }
+}
+
+TEST(Explorer, NoFaultAnywhereBreaksAPromise) {
+  for (const scenario &Scenario : listScenarios()) {
+    exhaustive_search Search(Scenario);
+    Search.run(1);
+    for (const counterexample &Each : Search.getFound()) {
+      FAIL(describe(Scenario, Each).c_str());
+    }
+    // Else the search would show nothing.
+    CHECK_TRUE(Search.countRuns() > 100);
+  }
+}
+
+TEST(Explorer, NoRandomScheduleBreaksAPromise) {
+  for (const scenario &Scenario : listScenarios()) {
+    for (std::uint64_t Each = 0; Each < RandomSchedules; ++Each) {
+      if (const auto Found =
+              playRandom(Scenario, RandomFaults, FirstSeed + Each)) {
+        FAIL((std::to_string(FirstSeed + Each) + ", " +
+              describe(Scenario, *Found))
+                 .c_str());
+      }
+    }
+  }
+}
+
+TEST(Explorer, SchedulesAreReadAsTheyAreWritten) {
+  const schedule Schedule{{.Step = 3, .Choice = 4}, {.Step = 38, .Choice = 7}};
+  CHECK_TRUE(Schedule == parseSchedule(toString(Schedule)).value());
+  CHECK_FALSE(parseSchedule("3:4;38:7").has_value());
+  CHECK_FALSE(parseSchedule("3").has_value());
+}
+
+TEST_GROUP(ExplorerGuards){};
+
+// Each guard of the protocol is taken out in turn, but for StopLimit, whose
+// loss takes more faults than are searched.
+TEST(ExplorerGuards, WithoutAGuardAPromiseIsBroken) {
+  for (const guard_case &Case : GuardCases) {
+    if (!playCase(Case, false)) {
+      FAIL((toString(Case.Guard) + " is not missed").c_str());
+    }
+  }
+}
+
+TEST(ExplorerGuards, WithItsGuardNoneIs) {
+  for (const guard_case &Case : GuardCases) {
+    if (const auto Found = playCase(Case, true)) {
+      FAIL((toString(Case.Guard) + ": " + Found->Violation).c_str());
+    }
+  }
+}
--- /dev/null
+++ b/tests/explorer/lib/companion_node.cpp
@@ -0,0 +1,327 @@
+#include "companion_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::explorer {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration Latency = milliseconds(1);
+/// As in the adapter for the sites' runners.
+constexpr duration OrderLimit = milliseconds(60);
+constexpr duration ListSlack = milliseconds(40);
+
+std::vector<fault> orderFaults() {
+  return {{fault_kind::LoseAnswer},
+          {fault_kind::LoseOrder},
+          {fault_kind::ExecuteLate, milliseconds(70)},
+          {fault_kind::ExecuteLate, milliseconds(250)},
+          {fault_kind::ExecuteLate, milliseconds(700)},
+          {fault_kind::RefuseOrder},
+          {fault_kind::CrashEndpoint, milliseconds(20)},
+          {fault_kind::CrashEndpoint, milliseconds(500)}};
+}
+
+std::vector<fault> listFaults() {
+  return {{fault_kind::LoseAnswer},
+          {fault_kind::LoseOrder},
+          {fault_kind::RefuseOrder},
+          {fault_kind::CrashEndpoint, milliseconds(20)},
+          {fault_kind::CrashEndpoint, milliseconds(500)}};
+}
+
+} // namespace
+
+companion_node::companion_node(world &World, std::string Name,
+                               companion::options Options,
+                               runs::options RunOptions, network &Network,
+                               endpoint_node &Beside)
+    : linked_node(World, std::move(Name)), Options(std::move(Options)),
+      RunOptions(RunOptions), Network(Network), Endpoint(Beside) {
+  Beside.Announce = [this](const std::string &Life) {
+    takeAfter(Latency, "heartbeat", mix(Endpoint.labelOutput(), "beat"), {},
+              [this, Life] { takeAnnouncement(Life); });
+  };
+}
+
+void companion_node::begin() {
+  Options.Self = {.Name = getName(),
+                  .Incarnation = incarnation{mix(getLife(), getName())}};
+  Options.Seed = static_cast<std::uint64_t>(Options.Self.Incarnation);
+  Wake.reset();
+  Latest.reset();
+  Announced = false;
+  Core = std::make_unique<companion::core>(Options);
+  Supervisor.emplace(RunOptions, getNow());
+  handle(companion::timer_expired{});
+  tick();
+}
+
+void companion_node::end() { Network.closeAll(*this); }
+
+void companion_node::requestStop() { handle(companion::stop_requested{}); }
+
+void companion_node::linkOpened(link_id Link) {
+  handle(companion::link_opened{Link});
+}
+
+void companion_node::linkClosed(link_id Link) {
+  handle(companion::link_closed{.Link = Link, .Reason = "closed"});
+}
+
+void companion_node::received(link_id Link,
+                              std::vector<peer_message> Messages) {
+  handle(companion::envelope_received{.Link = Link,
+                                      .Messages = std::move(Messages)});
+}
+
+bool companion_node::hasTasks() const {
+  if (!isAlive()) {
+    return false;
+  }
+  const companion_load Load = Core->getStatus().Load;
+  return Load.Running > 0 || Load.Queued > 0;
+}
+
+// The core.
+
+void companion_node::handle(companion::event Event) {
+  std::vector<companion::action> Actions;
+  Core->handle(getNow(), std::move(Event), Actions);
+  Core->flush(getNow(), Actions);
+  for (companion::action &Action : Actions) {
+    if (isAlive()) {
+      apply(Action);
+    }
+  }
+  if (isAlive()) {
+    carryOut();
+  }
+}
+
+void companion_node::apply(companion::action &Action) {
+  if (auto *Send = std::get_if<companion::send_messages>(&Action)) {
+    Network.send(*this, Send->Link, std::move(Send->Messages));
+  } else if (auto *Start = std::get_if<companion::start_task>(&Action)) {
+    Supervisor->start(getNow(), std::move(*Start));
+  } else if (const auto *Stop = std::get_if<companion::stop_task>(&Action)) {
+    Supervisor->stop(getNow(), Stop->Task);
+  } else if (const auto *Dial = std::get_if<companion::dial_entry>(&Action)) {
+    Network.dial(*this, Dial->Link, Dial->Address);
+  } else if (const auto *Close = std::get_if<companion::close_link>(&Action)) {
+    Network.close(*this, Close->Link);
+  } else if (const auto *Timer = std::get_if<companion::wake_at>(&Action)) {
+    Wake = Timer->At;
+    takeAfter(
+        std::max(Timer->At - getNow(), duration::zero()), "timer",
+        mix(getLife(), "core"), {},
+        [this] {
+          Wake.reset();
+          handle(companion::timer_expired{});
+        },
+        [this, At = Timer->At] { return Wake == At; });
+  } else if (std::holds_alternative<companion::stop_finished>(Action)) {
+    kill(milliseconds(100));
+  }
+}
+
+// The supervisor.
+
+void companion_node::tick() {
+  Supervisor->advance(getNow());
+  carryOut();
+  takeAfter(
+      std::max(Supervisor->getNextWake(getNow()) - getNow(), duration::zero()),
+      "timer", mix(getLife(), "supervisor"), {}, [this] { tick(); });
+}
+
+void companion_node::takeAnnouncement(const std::string &Life) {
+  Supervisor->noteLife(getNow(), Life);
+  Latest = Life;
+  Announced = false;
+  carryOut();
+}
+
+void companion_node::announce() {
+  if (!Latest || Announced || !Supervisor->isReady()) {
+    return;
+  }
+  Announced = true;
+  handle(companion::endpoint_announced{
+      {.Name = Endpoint.getName(),
+       .Life = *Latest,
+       .Address = {.Host = "127.0.0.1", .Port = 9000},
+       .Offer = {.State = endpoint_state::Serving,
+                 .Classes = {"pool"},
+                 .Slots = 8,
+                 .MemoryBytes = 1ULL << 30U,
+                 .MilliCores = EndpointMilliCores}}});
+}
+
+void companion_node::carryOut() {
+  std::vector<runs::step> Steps = Supervisor->takeSteps();
+  while (!Steps.empty() && isAlive()) {
+    for (runs::step &Step : Steps) {
+      carryOut(std::move(Step));
+    }
+    Steps = Supervisor->takeSteps();
+  }
+  if (isAlive()) {
+    announce();
+  }
+}
+
+void companion_node::carryOut(runs::step Step) {
+  if (auto *Start = std::get_if<runs::send_start>(&Step)) {
+    sendStart(Start->Order);
+  } else if (auto *Stop = std::get_if<runs::send_stop>(&Step)) {
+    sendStop(*Stop);
+  } else if (auto *List = std::get_if<runs::send_list>(&Step)) {
+    sendList(List->Request);
+  } else if (auto *Tell = std::get_if<runs::tell_core>(&Step)) {
+    if (std::holds_alternative<companion::endpoint_silent>(Tell->Event)) {
+      Announced = false;
+    }
+    handle(std::move(Tell->Event));
+  }
+}
+
+void companion_node::sendOrder(std::string_view What, std::uint64_t Label,
+                               std::vector<fault> Offered,
+                               std::function<void(bool)> Work,
+                               std::function<void()> Refuse) {
+  const auto Suffer = [this, Label, Work,
+                       Refuse = std::move(Refuse)](const fault &Fault) {
+    switch (Fault.Kind) {
+    case fault_kind::LoseAnswer:
+      Work(false);
+      return false;
+    case fault_kind::ExecuteLate:
+      // What a process has received ends with it.
+      World.after(Fault.Span, {.What = "late order",
+                               .Who = Endpoint.getName(),
+                               .Label = mix(Label, "late"),
+                               .Run = [Work] { Work(false); },
+                               .IsValid =
+                                   [this, Life = Endpoint.getLife()] {
+                                     return Endpoint.isAlive() &&
+                                            Endpoint.getLife() == Life;
+                                   }});
+      return false;
+    case fault_kind::RefuseOrder:
+      Refuse();
+      return false;
+    case fault_kind::CrashEndpoint:
+      Endpoint.kill(Fault.Span);
+      return true;
+    default:
+      return false;
+    }
+  };
+  World.after(Latency, {.What = What,
+                        .Who = Endpoint.getName(),
+                        .Label = Label,
+                        .Offered = std::move(Offered),
+                        .Run = [Work] { Work(true); },
+                        .Suffer = Suffer});
+}
+
+order_answer companion_node::makeAnswer(const std::shared_ptr<call> &Call,
+                                        const run_id &Run, bool IsStart) {
+  return [this, Call, Run, IsStart,
+          Life = getLife()](const order_outcome &Outcome) {
+    if (getLife() != Life) {
+      return;
+    }
+    takeAfter(
+        Latency, "answer", Endpoint.labelOutput(), processFaults(),
+        [this, Call, Run, IsStart, Outcome] {
+          Call->Answered = true;
+          takeOutcome(Run, IsStart, Outcome);
+        },
+        [Call] { return !Call->Answered; });
+  };
+}
+
+void companion_node::takeOutcome(const run_id &Run, bool IsStart,
+                                 const order_outcome &Outcome) {
+  if (IsStart) {
+    Supervisor->takeStartOutcome(getNow(), Run, Outcome);
+  } else {
+    Supervisor->takeStopOutcome(getNow(), Run, Outcome);
+  }
+  carryOut();
+}
+
+void companion_node::sendStart(const start_order &Order) {
+  const std::uint64_t Label = labelOutput();
+  const auto Call = std::make_shared<call>();
+  const order_answer Answer = makeAnswer(Call, Order.Run, true);
+  sendOrder(
+      "start", Label, orderFaults(),
+      [this, Label, Order, SentAt = getNow(), Answer](bool Answers) {
+        Endpoint.order(Label, Order, SentAt, Answers ? Answer : order_answer());
+      },
+      [Answer] { Answer({.Status = order_status::NotReached}); });
+  takeAfter(
+      OrderLimit, "order limit", mix(Label, "limit"), {},
+      [this, Call, Run = Order.Run] {
+        Call->Answered = true;
+        takeOutcome(Run, true, {.Status = order_status::Unknown});
+      },
+      [Call] { return !Call->Answered; });
+}
+
+void companion_node::sendStop(const runs::send_stop &Stop) {
+  const std::uint64_t Label = labelOutput();
+  const auto Call = std::make_shared<call>();
+  const order_answer Answer = makeAnswer(Call, Stop.Run, false);
+  sendOrder(
+      "stop", Label, orderFaults(),
+      [this, Label, Run = Stop.Run, Answer](bool Answers) {
+        Endpoint.orderStop(Label, Run, Answers ? Answer : order_answer());
+      },
+      [Answer] { Answer({.Status = order_status::NotReached}); });
+  takeAfter(
+      OrderLimit, "order limit", mix(Label, "limit"), {},
+      [this, Call, Run = Stop.Run] {
+        Call->Answered = true;
+        takeOutcome(Run, false, {.Status = order_status::Unknown});
+      },
+      [Call] { return !Call->Answered; });
+}
+
+void companion_node::sendList(const list_request &Request) {
+  const std::uint64_t Label = labelOutput();
+  const auto Call = std::make_shared<call>();
+  const auto Take = [this, Call](const list_outcome &Outcome) {
+    Call->Answered = true;
+    Supervisor->takeList(getNow(), Outcome);
+    carryOut();
+  };
+  const list_answer Answer = [this, Call, Take,
+                              Life = getLife()](const list_outcome &Outcome) {
+    if (getLife() != Life) {
+      return;
+    }
+    takeAfter(
+        Latency, "listing", Endpoint.labelOutput(), processFaults(),
+        [Take, Outcome] { Take(Outcome); }, [Call] { return !Call->Answered; });
+  };
+  sendOrder(
+      "list", Label, listFaults(),
+      [this, Label, Request, SentAt = getNow(), Answer](bool Answers) {
+        Endpoint.orderList(Label, Request, SentAt,
+                           Answers ? Answer : list_answer());
+      },
+      [Answer] { Answer(list_failure::Refused); });
+  takeAfter(
+      Request.Wait + ListSlack, "list limit", mix(Label, "limit"), {},
+      [Take] { Take(list_failure::NoAnswer); },
+      [Call] { return !Call->Answered; });
+}
+
+} // namespace crocuswood::explorer
--- /dev/null
+++ b/tests/explorer/lib/companion_node.h
@@ -0,0 +1,74 @@
+/// \file
+/// A companion of the fleet: the real core and the real supervisor.
+#pragma once
+
+#include "endpoint_node.h"
+#include "network.h"
+
+#include <crocuswood/companion.h>
+#include <crocuswood/runs.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocuswood::explorer {
+
+/// Carries out what core and supervisor decide, as the daemon does.
+class companion_node : public linked_node {
+public:
+  companion_node(world &World, std::string Name, companion::options Options,
+                 runs::options RunOptions, network &Network,
+                 endpoint_node &Beside);
+
+  void requestStop() override;
+  void linkOpened(link_id Link) override;
+  void linkClosed(link_id Link) override;
+  void received(link_id Link, std::vector<peer_message> Messages) override;
+  /// \returns whether it has tasks.
+  bool hasTasks() const;
+
+protected:
+  void begin() override;
+  void end() override;
+
+private:
+  /// An order without an answer so far.
+  struct call {
+    bool Answered = false;
+  };
+
+  void handle(companion::event Event);
+  void apply(companion::action &Action);
+  void takeAnnouncement(const std::string &Life);
+  void announce();
+  void tick();
+  void carryOut();
+  void carryOut(runs::step Step);
+  void sendStart(const start_order &Order);
+  void sendStop(const runs::send_stop &Stop);
+  void sendList(const list_request &Request);
+  /// Lets \p Work carry out an order at the endpoint, unless a fault does
+  /// otherwise.
+  void sendOrder(std::string_view What, std::uint64_t Label,
+                 std::vector<fault> Offered, std::function<void(bool)> Work,
+                 std::function<void()> Refuse);
+  order_answer makeAnswer(const std::shared_ptr<call> &Call, const run_id &Run,
+                          bool IsStart);
+  void takeOutcome(const run_id &Run, bool IsStart,
+                   const order_outcome &Outcome);
+
+  companion::options Options;
+  runs::options RunOptions;
+  network &Network;
+  endpoint_node &Endpoint;
+  std::unique_ptr<companion::core> Core;
+  std::optional<runs::supervisor> Supervisor;
+  std::optional<instant> Wake;
+  std::optional<std::string> Latest; ///< Life of the endpoint, as announced.
+  bool Announced = false;
+};
+
+} // namespace crocuswood::explorer
--- /dev/null
+++ b/tests/explorer/lib/entry_node.cpp
@@ -0,0 +1,111 @@
+#include "entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocuswood::explorer {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration Latency = milliseconds(1);
+
+} // namespace
+
+entry_node::entry_node(world &World, std::string Name, entry::options Options,
+                       configuration Configuration,
+                       std::vector<peer_address> Entries, network &Network)
+    : linked_node(World, std::move(Name)), Options(std::move(Options)),
+      Configuration(std::move(Configuration)), Entries(std::move(Entries)),
+      Network(Network) {}
+
+void entry_node::begin() {
+  Options.Self = {.Name = getName(),
+                  .Incarnation = incarnation{mix(getLife(), getName())}};
+  Options.Seed = static_cast<std::uint64_t>(Options.Self.Incarnation);
+  Wake.reset();
+  Core = std::make_unique<entry::core>(Options);
+  handle(entry::entries_read{Entries});
+  handle(entry::configuration_read{Configuration});
+}
+
+void entry_node::end() {
+  Network.closeAll(*this);
+  for (const auto &[Request, End] : std::exchange(Requests, {})) {
+    World.after(Latency,
+                {.What = "broken connection",
+                 .Who = "caller",
+                 .Label = mix(static_cast<std::uint64_t>(Request), "broken"),
+                 .Run = [End = End] { End(std::nullopt); }});
+  }
+}
+
+void entry_node::requestStop() { handle(entry::stop_requested{}); }
+
+void entry_node::linkOpened(link_id Link) { handle(entry::link_opened{Link}); }
+
+void entry_node::linkClosed(link_id Link) {
+  handle(entry::link_closed{.Link = Link, .Reason = "closed"});
+}
+
+void entry_node::received(link_id Link, std::vector<peer_message> Messages) {
+  handle(
+      entry::envelope_received{.Link = Link, .Messages = std::move(Messages)});
+}
+
+void entry_node::submit(request_id Request, job_request Job,
+                        submission_end End) {
+  const auto Label = mix(static_cast<std::uint64_t>(Request), "submit");
+  Requests[Request] = std::move(End);
+  take(Label, [this, Request, Job = std::move(Job)] {
+    handle(entry::job_submitted{.Request = Request, .Job = Job});
+  });
+}
+
+void entry_node::dropCaller(request_id Request) {
+  if (Requests.erase(Request) == 0) {
+    return;
+  }
+  take(mix(static_cast<std::uint64_t>(Request), "gone"), [this, Request] {
+    handle(entry::job_cancelled{.Request = Request, .CallerGone = true});
+  });
+}
+
+void entry_node::handle(entry::event Event) {
+  std::vector<entry::action> Actions;
+  Core->handle(getNow(), std::move(Event), Actions);
+  Core->flush(getNow(), Actions);
+  for (entry::action &Action : Actions) {
+    if (isAlive()) {
+      apply(Action);
+    }
+  }
+}
+
+void entry_node::apply(entry::action &Action) {
+  if (auto *Send = std::get_if<entry::send_messages>(&Action)) {
+    Network.send(*this, Send->Link, std::move(Send->Messages));
+  } else if (const auto *Answer = std::get_if<entry::answer_caller>(&Action)) {
+    const auto Request = Requests.extract(Answer->Request);
+    if (!Request.empty()) {
+      Request.mapped()(Answer->Answer);
+    }
+  } else if (const auto *Close = std::get_if<entry::close_link>(&Action)) {
+    Network.close(*this, Close->Link);
+  } else if (const auto *Timer = std::get_if<entry::wake_at>(&Action)) {
+    Wake = Timer->At;
+    takeAfter(
+        std::max(Timer->At - getNow(), duration::zero()), "timer",
+        mix(getLife(), "core"), {},
+        [this] {
+          Wake.reset();
+          handle(entry::timer_expired{});
+        },
+        [this, At = Timer->At] { return Wake == At; });
+  } else if (std::holds_alternative<entry::stop_finished>(Action)) {
+    kill(milliseconds(100));
+  }
+}
+
+} // namespace crocuswood::explorer
--- /dev/null
+++ b/tests/explorer/lib/node.h
@@ -0,0 +1,69 @@
+/// \file
+/// What all processes of the fleet have.
+#pragma once
+
+#include "world.h"
+
+#include <crocuswood/model.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace crocuswood::explorer {
+
+/// Faults of a process, offered where it is about to take something.
+std::vector<fault> processFaults();
+
+/// A process: it lives, may be frozen, and takes its inputs one by one. It is
+/// a deterministic function of them, so a digest of the inputs stands for its
+/// state.
+class node {
+public:
+  node(world &World, std::string Name);
+  virtual ~node() = default;
+  node(const node &) = delete;
+  node &operator=(const node &) = delete;
+
+  void start();
+  /// Ends the life at once. It is started anew after \p Pause.
+  void kill(duration Pause);
+  void freeze(duration Span);
+  /// Carries out a fault of processFaults().
+  void suffer(const fault &Fault);
+  virtual void requestStop() {}
+
+  /// Takes an input: now, after a freeze, or never if the process has died.
+  void take(std::uint64_t Label, std::function<void()> Work);
+  /// Takes an input of the present life after \p Span, unless \p IsValid fails
+  /// by then.
+  void takeAfter(duration Span, std::string_view What, std::uint64_t Label,
+                 std::vector<fault> Offered, std::function<void()> Work,
+                 std::function<bool()> IsValid = nullptr);
+
+  bool isAlive() const { return Alive; }
+  bool isFrozen() const { return Frozen; }
+  std::uint64_t getLife() const { return Life; }
+  const std::string &getName() const { return Name; }
+  /// \returns a number that tells this output apart from all others.
+  std::uint64_t labelOutput();
+  std::uint64_t digestState() const;
+
+protected:
+  virtual void begin() = 0;
+  virtual void end() = 0;
+  instant getNow() const { return World.getNow(); }
+  world &World;
+
+private:
+  std::string Name;
+  std::uint64_t Life = 0;
+  bool Alive = false;
+  bool Frozen = false;
+  std::uint64_t History = 0;
+  std::uint64_t Outputs = 0;
+  std::vector<std::pair<std::uint64_t, std::function<void()>>> Held;
+};
+
+} // namespace crocuswood::explorer
