--- a/tests/explorer/lib/companion_node.cpp
+++ b/tests/explorer/lib/companion_node.cpp
@@ -191,7 +191,7 @@
 
 void companion_node::sendOrder(std::string_view What, std::uint64_t Label,
                                std::vector<fault> Offered,
-                               std::function<void(bool)> Work,
+                               const std::function<void(bool)> &Work,
                                std::function<void()> Refuse) {
   const auto Suffer = [this, Label, Work,
                        Refuse = std::move(Refuse)](const fault &Fault) {
--- a/tests/explorer/lib/companion_node.h
+++ b/tests/explorer/lib/companion_node.h
@@ -53,7 +53,8 @@
   /// Lets \p Work carry out an order at the endpoint, unless a fault does
   /// otherwise.
   void sendOrder(std::string_view What, std::uint64_t Label,
-                 std::vector<fault> Offered, std::function<void(bool)> Work,
+                 std::vector<fault> Offered,
+                 const std::function<void(bool)> &Work,
                  std::function<void()> Refuse);
   order_answer makeAnswer(const std::shared_ptr<call> &Call, const run_id &Run,
                           bool IsStart);
--- a/tests/explorer/lib/endpoint_node.cpp
+++ b/tests/explorer/lib/endpoint_node.cpp
@@ -10,7 +10,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration Latency = milliseconds(1);
 constexpr duration HeartbeatInterval = milliseconds(1'500);
 /// An endpoint shortens longer leases to this.
 constexpr duration MaxLease = milliseconds(1'000);
--- a/tests/explorer/lib/fleet.cpp
+++ b/tests/explorer/lib/fleet.cpp
@@ -336,7 +336,7 @@
   World.after(CrashDelay, {.What = "crash",
                            .Who = Node.getName(),
                            .Label = mix(Node.labelOutput(), "crash"),
-                           .Run = [this, &Node, Life = Node.getLife(), Run] {
+                           .Run = [&Node, Life = Node.getLife(), Run] {
                              if (Node.isAlive() && Node.getLife() == Life &&
                                  Node.getActive().contains(Run)) {
                                Node.kill(CrashPause);
--- a/tests/explorer/lib/network.cpp
+++ b/tests/explorer/lib/network.cpp
@@ -88,15 +88,16 @@
 }
 
 void network::carry(const connection_pointer &Connection, std::size_t To,
-                    std::uint64_t Label, std::vector<fault> Offered,
-                    std::function<void()> Work) {
+                    std::uint64_t Label, const std::vector<fault> &Offered,
+                    const std::function<void()> &Work) {
   add(std::max(World.getNow() + Latency, Connection->Sides.at(To).HeldUntil),
-      Connection, To, Label, std::move(Offered), std::move(Work));
+      Connection, To, Label, Offered, Work);
 }
 
 void network::add(instant At, const connection_pointer &Connection,
                   std::size_t To, std::uint64_t Label,
-                  std::vector<fault> Offered, std::function<void()> Work) {
+                  const std::vector<fault> &Offered,
+                  const std::function<void()> &Work) {
   linked_node *Owner = Connection->Sides.at(To).Owner;
   World.add(At, {.What = "message",
                  .Who = Owner->getName(),
--- a/tests/explorer/lib/network.h
+++ b/tests/explorer/lib/network.h
@@ -65,11 +65,11 @@
   void accept(linked_node &Dialler, link_id Link, linked_node &Listener);
   /// Runs \p Work at side \p To after the latency, in order.
   void carry(const connection_pointer &Connection, std::size_t To,
-             std::uint64_t Label, std::vector<fault> Offered,
-             std::function<void()> Work);
+             std::uint64_t Label, const std::vector<fault> &Offered,
+             const std::function<void()> &Work);
   void add(instant At, const connection_pointer &Connection, std::size_t To,
-           std::uint64_t Label, std::vector<fault> Offered,
-           std::function<void()> Work);
+           std::uint64_t Label, const std::vector<fault> &Offered,
+           const std::function<void()> &Work);
   /// \returns whether the message still arrives.
   bool suffer(const connection_pointer &Connection, std::size_t To,
               const fault &Fault);
--- a/tests/explorer/lib/node.cpp
+++ b/tests/explorer/lib/node.cpp
@@ -8,8 +8,6 @@
 
 using std::chrono::milliseconds;
 
-/// Of a process that has stopped as planned.
-constexpr duration RestartPause = milliseconds(100);
 constexpr std::uint64_t LifeSeed = 0x6c696665;
 
 } // namespace
