--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -72,7 +72,7 @@
     return;
   }
   attach(Step, Link, *Peer);
-  noteRevision(*Peer, Hello.ConfigurationRevision);
+  revision_push::note(*Peer, Hello.ConfigurationRevision);
 }
 
 void core::implementation::attach(const step &Step, link_state &Link,
@@ -148,13 +148,13 @@
   } else if (const auto *Request = std::get_if<resume_request>(&Message)) {
     Desk.resume(Step, Peer, *Request);
   } else if (const auto *Beat = std::get_if<entry_heartbeat>(&Message)) {
-    noteRevision(Peer, Beat->ConfigurationRevision);
+    revision_push::note(Peer, Beat->ConfigurationRevision);
     Peer.Stopping = Beat->Stopping;
     Peer.LeavingSeen = Beat->LeavingSeen;
   } else if (const auto *List = std::get_if<entry_list>(&Message)) {
     Links.addKnown(List->Entries);
   } else if (const auto *Grant = std::get_if<lease_grant>(&Message)) {
-    grantLease(Peer, *Grant);
+    Leases.grant(Peer, *Grant);
   } else if (auto *Push = std::get_if<configuration_push>(&Message)) {
     Peer.Revision = std::max(Peer.Revision, Push->Configuration.Revision);
     adopt(Step, std::move(Push->Configuration));
@@ -201,29 +201,6 @@
   Links.broadcast(makeHeartbeat());
 }
 
-void core::implementation::noteRevision(entry_peer &Peer,
-                                        std::uint64_t Revision) {
-  Peer.Revision = std::max(Peer.Revision, Revision);
-}
-
-void core::implementation::checkRevision(const step &Step, entry_peer &Peer) {
-  if (!Peer.Link || Peer.Revision >= Configuration.Revision ||
-      Peer.PushedRevision >= Configuration.Revision) {
-    Peer.PushAt.reset();
-    return;
-  }
-  if (!Peer.PushAt) {
-    Peer.PushAt = Step.Now + Generator.below(ConfigurationPushSpread);
-  }
-  if (Step.Now < *Peer.PushAt) {
-    return;
-  }
-  Peer.PushAt.reset();
-  Peer.PushedRevision = Configuration.Revision;
-  Links.find(*Peer.Link)
-      ->Unsent.emplace_back(configuration_push{.Configuration = Configuration});
-}
-
 void core::implementation::on(const step &Step,
                               const endpoint_announced &Event) {
   if (Endpoint.announce(Step, Event.Announcement)) {
@@ -252,7 +229,7 @@
     return task_completed{.Output = std::move(Event.Output),
                           .RunTime = Run.RunTime};
   });
-  reportFreeSlot(Event.Task.Job.Entry);
+  FreeSlots.report(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_failed &Event) {
@@ -260,7 +237,7 @@
     return task_failed{.Reason = std::move(Event.Reason),
                        .RunTime = Run.RunTime};
   });
-  reportFreeSlot(Event.Task.Job.Entry);
+  FreeSlots.report(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, const run_not_reached &Event) {
@@ -276,7 +253,7 @@
   Desk.endRun(Step, Event.Task, [&Event](const ended_run & /*Run*/) {
     return task_lost{.Reason = std::move(Event.Reason)};
   });
-  reportFreeSlot(Event.Task.Job.Entry);
+  FreeSlots.report(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_stopped &Event) {
@@ -285,14 +262,14 @@
                         .RunTime = Run.RunTime,
                         .Overdue = Run.Overdue};
   });
-  reportFreeSlot(Event.Task.Job.Entry);
+  FreeSlots.report(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step &Step, run_refused &Event) {
   Desk.endRun(Step, Event.Task, [](const ended_run & /*Run*/) {
     return task_not_started{.Reason = not_started_reason::Refused};
   });
-  reportFreeSlot(Event.Task.Job.Entry);
+  FreeSlots.report(Event.Task.Job.Entry);
 }
 
 void core::implementation::on(const step & /*Step*/,
@@ -316,34 +293,6 @@
   }
 }
 
-void core::implementation::reportFreeSlot(incarnation Ended) {
-  const companion_load Load = Desk.refreshLoad();
-  if (!Desk.hasFreeSlot() || Load.Queued != 0) {
-    return;
-  }
-  auto &Peers = Entries.getPeers();
-  const auto Wants = [Ended](const auto &Item) {
-    return Item.second.Backlog > 0 && Item.second.Link && Item.first != Ended;
-  };
-  const auto EndedPeer = Peers.find(Ended);
-  if (EndedPeer != Peers.end() && EndedPeer->second.Backlog > 0) {
-    // The end itself tells this entry of the free slot.
-    return;
-  }
-  auto Next = std::find_if(Peers.upper_bound(LastReported), Peers.end(), Wants);
-  if (Next == Peers.end()) {
-    Next = std::find_if(Peers.begin(), Peers.end(), Wants);
-  }
-  if (Next == Peers.end()) {
-    return;
-  }
-  LastReported = Next->first;
-  // A placement in reply tells of a backlog that goes on.
-  Next->second.Backlog = 0;
-  Links.find(*Next->second.Link)
-      ->Unsent.emplace_back(load_report{.Load = Load});
-}
-
 void core::implementation::on(const step &Step,
                               const timer_expired & /*Event*/) {
   Wake.reset();
@@ -382,36 +331,6 @@
   }
 }
 
-void core::implementation::grantLease(entry_peer &Peer,
-                                      const lease_grant &Grant) {
-  const instant At{Grant.At};
-  Peer.LeaseUntil = std::max(Peer.LeaseUntil, At + Options.EntryLease);
-}
-
-void core::implementation::checkLeases(const step &Step) {
-  if (Options.EntryLease == duration::zero()) {
-    return;
-  }
-  for (auto &[Id, Peer] : Entries.getPeers()) {
-    if (Step.Now >= Peer.LeaseUntil) {
-      Desk.endLease(Step, Peer);
-      askForLease(Step, Peer);
-    }
-  }
-}
-
-// On a link that was idle the latest grant is older than a lease.
-void core::implementation::askForLease(const step &Step, entry_peer &Peer) {
-  link_state *Link = Peer.Link ? Links.find(*Peer.Link) : nullptr;
-  if (Link == nullptr || !Desk.hasQueued(Peer.Id.Incarnation) ||
-      Step.Now - Peer.LeaseAskedAt < Options.HeartbeatInterval) {
-    return;
-  }
-  Peer.LeaseAskedAt = Step.Now;
-  // Every envelope asks for a lease.
-  Link->Unsent.emplace_back(makeHeartbeat());
-}
-
 void core::implementation::noteActivity(const step &Step) {
   for (auto &[Id, Link] : Links.getLinks()) {
     if (!Link.Entry) {
@@ -443,7 +362,7 @@
 }
 
 void core::implementation::finishEvent(const step &Step) {
-  checkLeases(Step);
+  Leases.check(Step, [this] { return makeHeartbeat(); });
   Desk.stopOverdue(Step);
   Desk.startTasks(Step);
   if (Stopping && !Desk.isIdle()) {
@@ -451,7 +370,7 @@
   }
   Links.dialDue(Step);
   for (auto &[Id, Peer] : Entries.getPeers()) {
-    checkRevision(Step, Peer);
+    Revisions.check(Step, Peer);
   }
   noteActivity(Step);
   const auto Next = findNextWake(Step.Now);
@@ -475,10 +394,8 @@
       Consider(Peer.LinklessSince + Options.EntryLossLimit);
     }
     Consider(Peer.PushAt);
-    if (Options.EntryLease > duration::zero()) {
-      Consider(Desk.getLeaseWake(Peer, Now));
-    }
   }
+  Consider(Leases.findNextWake(Now));
   if (Stopping && !StopFinished) {
     Consider(LastRunEnd + Options.EntryLossLimit);
   }
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -4,9 +4,11 @@
 
 #include "crash_ledger.h"
 #include "endpoint_monitor.h"
+#include "entry_leases.h"
 #include "entry_links.h"
 #include "entry_registry.h"
-#include "spread_generator.h"
+#include "free_slot_report.h"
+#include "revision_push.h"
 #include "step.h"
 #include "task_desk.h"
 
@@ -25,7 +27,9 @@
       : Options(std::move(Options)), Links(this->Options),
         Endpoint(this->Options.AnnouncementLimit),
         Desk(this->Options, Configuration, Entries, Links, Endpoint),
-        Generator(this->Options.Seed) {}
+        Leases(this->Options, Entries, Links, Desk),
+        FreeSlots(Entries, Links, Desk),
+        Revisions(Configuration, Links, this->Options.Seed) {}
 
   void on(const step &Step, const link_opened &Event);
   void on(const step &Step, envelope_received &Event);
@@ -61,21 +65,13 @@
   void replaceNamesake(const step &Step, const process_id &Id);
   void dropEntry(const step &Step, entry_peer &Peer);
   void adopt(const step &Step, configuration Value);
-  static void noteRevision(entry_peer &Peer, std::uint64_t Revision);
-  /// Updates an entry whose revision has been smaller for a while.
-  void checkRevision(const step &Step, entry_peer &Peer);
   void reportEndpoint(const step &Step, not_started_reason Reason);
-  void reportFreeSlot(incarnation Ended);
   void closeSilentLinks(const step &Step);
   void dropLostEntries(const step &Step);
   void addHeartbeats(const step &Step);
-  void checkLeases(const step &Step);
-  /// Asks an entry for a lease that tasks wait for.
-  void askForLease(const step &Step, entry_peer &Peer);
   /// Tells the links which of them have work.
   void noteActivity(const step &Step);
   companion_heartbeat makeHeartbeat();
-  void grantLease(entry_peer &Peer, const lease_grant &Grant);
   bool isFinished(instant Now) const;
   std::optional<instant> findNextWake(instant Now) const;
 
@@ -86,9 +82,10 @@
   endpoint_monitor Endpoint;
   task_desk Desk;
   crash_ledger Crashes;
-  spread_generator Generator;
+  entry_leases Leases;
+  free_slot_report FreeSlots;
+  revision_push Revisions;
   std::optional<instant> Wake;
-  incarnation LastReported{};
   bool EndpointSettled = false;
   bool Stopping = false;
   bool StopFinished = false;
