--- /dev/null
+++ b/tests/runs/supervisor_fixture.h
@@ -0,0 +1,158 @@
+/// \file
+/// Drives a supervisor beside a fake runner.
+#pragma once
+
+#include "fake_runner.h"
+
+#include <crocuswood/runs.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace crocuswood::runs_test {
+
+using std::chrono::milliseconds;
+
+/// Between a step and its effect on the endpoint, and back.
+constexpr duration Trip = milliseconds(1);
+
+/// A supervisor beside an endpoint, in virtual time. Orders, answers and
+/// listings may be lost.
+struct supervisor_fixture : public Utest {
+  instant Now{std::chrono::seconds(100)};
+  fake_runner Runner;
+  runs::options Options;
+  runs::supervisor Supervisor{Options, Now};
+  std::vector<companion::event> Told;
+  std::vector<start_order> LostStarts; ///< Not delivered yet.
+  bool LosesStarts = false;
+  bool LosesStartAnswers = false; ///< The runs begin all the same.
+  bool LosesStops = false;
+  bool LosesLists = false;
+  list_failure Failure = list_failure::NoAnswer; ///< Of a lost listing.
+
+  task_id makeTask(std::uint32_t Index = 0) {
+    return {.Job = {.Entry = incarnation{1}, .Sequence = 1}, .Index = Index};
+  }
+
+  void start(std::uint32_t Index = 0, std::uint32_t Attempt = 1) {
+    Supervisor.start(Now, {.Task = makeTask(Index),
+                           .Class = "fast",
+                           .RunName = "job",
+                           .Attempt = Attempt});
+    deliver();
+  }
+
+  void stop(std::uint32_t Index = 0) {
+    Supervisor.stop(Now, makeTask(Index));
+    deliver();
+  }
+
+  void pass(duration Span) {
+    const instant End = Now + Span;
+    while (Now < End) {
+      Now += Trip;
+      Runner.pass(Now);
+      Supervisor.advance(Now);
+      deliver();
+    }
+  }
+
+  // Carries out the steps; listings wait no time.
+  void deliver() {
+    std::vector<runs::step> Steps = Supervisor.takeSteps();
+    while (!Steps.empty()) {
+      for (runs::step &Step : Steps) {
+        carryOut(Step);
+      }
+      Steps = Supervisor.takeSteps();
+    }
+  }
+
+  void carryOut(runs::step &Step) {
+    if (auto *Start = std::get_if<runs::send_start>(&Step)) {
+      if (LosesStarts) {
+        LostStarts.push_back(Start->Order);
+        Supervisor.takeStartOutcome(Now, Start->Order.Run, {});
+        return;
+      }
+      const run_id Run = Start->Order.Run;
+      const order_outcome Outcome = Runner.start(Start->Order);
+      Supervisor.takeStartOutcome(
+          Now, Run, LosesStartAnswers ? order_outcome{} : Outcome);
+    } else if (auto *Stop = std::get_if<runs::send_stop>(&Step)) {
+      ++Stops;
+      if (!LosesStops) {
+        Supervisor.takeStopOutcome(Now, Stop->Run, Runner.stop(Stop->Run));
+      }
+    } else if (auto *List = std::get_if<runs::send_list>(&Step)) {
+      Asked.push_back(List->Request);
+      AllAsked.push_back(List->Request);
+    } else if (auto *Tell = std::get_if<runs::tell_core>(&Step)) {
+      Told.push_back(std::move(Tell->Event));
+    }
+  }
+
+  std::size_t Stops = 0;
+  std::vector<list_request> AllAsked; ///< All listings so far.
+  std::vector<list_request> Asked;    ///< Listings not answered yet.
+
+  // Answers the listings that were asked for.
+  void answerLists() {
+    std::vector<list_request> Requests;
+    std::swap(Requests, Asked);
+    for (const list_request &Request : Requests) {
+      if (LosesLists) {
+        Supervisor.takeList(Now, Failure);
+      } else {
+        Supervisor.takeList(Now, Runner.list(Request));
+      }
+      deliver();
+    }
+  }
+
+  void live(duration Span) {
+    const instant End = Now + Span;
+    while (Now < End) {
+      pass(milliseconds(10));
+      answerLists();
+    }
+  }
+
+  template <class Event> std::size_t count() const {
+    std::size_t Count = 0;
+    for (const companion::event &Each : Told) {
+      Count += std::holds_alternative<Event>(Each) ? 1 : 0;
+    }
+    return Count;
+  }
+
+  /// \returns the tasks of the one crash that was told.
+  std::vector<crashed_task> findCrash() const {
+    CHECK_EQUAL(1U, count<companion::endpoint_crashed>());
+    for (const companion::event &Each : Told) {
+      if (const auto *Crash = std::get_if<companion::endpoint_crashed>(&Each)) {
+        return Crash->Tasks;
+      }
+    }
+    return {};
+  }
+
+  void crash() {
+    Runner.restart();
+    LosesLists = false;
+    live(Options.ListRetry + milliseconds(20));
+  }
+
+  void settle() {
+    live(milliseconds(20));
+    CHECK_TRUE(Supervisor.isReady());
+  }
+};
+
+} // namespace crocuswood::runs_test
--- /dev/null
+++ b/tests/runs/supervisor_life_test.cpp
@@ -0,0 +1,99 @@
+// Orders and runs of earlier lives of the endpoint and the companion.
+#include "supervisor_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace crocuswood;
+using namespace crocuswood::runs_test;
+using std::chrono::milliseconds;
+
+TEST_GROUP_BASE(SupervisorLives, supervisor_fixture){};
+
+TEST(SupervisorLives, RunsOfAnEarlierLifeAreStoppedFirst) {
+  Runner.setRunTime(std::chrono::seconds(30));
+  Runner.pass(Now);
+  Runner.start({.Run = {.Job = "earlier"},
+                .Life = Runner.getLife(),
+                .Lease = Options.Lease});
+  pass(milliseconds(1));
+  CHECK_FALSE(Supervisor.isReady());
+  live(milliseconds(60));
+  CHECK_TRUE(Supervisor.isReady());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+TEST(SupervisorLives, WithoutAnyListingEarlierRunsEndWithTheirLease) {
+  LosesLists = true;
+  live(Options.Lease);
+  CHECK_EQUAL(0U, count<companion::endpoint_settled>());
+  live(Options.LeaseMargin + Options.ListRetry);
+  CHECK_EQUAL(1U, count<companion::endpoint_settled>());
+}
+
+TEST(SupervisorLives, ARestartedEndpointRunsNothing) {
+  settle();
+  start();
+  Runner.restart();
+  live(milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  start(0, 2);
+  live(milliseconds(130));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
+
+// Guards against the end of a run being reported while it begins in the next
+// life of an endpoint that keeps its id.
+TEST(SupervisorLives, AStartThatReachesTheNextLifeGoesOn) {
+  settle();
+  Runner.setChangesId(false);
+  Supervisor.start(Now, {.Task = makeTask(), .RunName = "job", .Attempt = 1});
+  const auto Steps = Supervisor.takeSteps();
+  const auto &Order = std::get<runs::send_start>(Steps.back()).Order;
+  Runner.restart();
+  CHECK_TRUE(order_status::Done == Runner.start(Order).Status);
+  live(milliseconds(20));
+  CHECK_EQUAL(0U, count<companion::run_stopped>());
+  live(milliseconds(130));
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
+
+// Guards against a run of an earlier life of the endpoint that begins after its
+// end was reported.
+TEST(SupervisorLives, AnOrderOfAnEarlierLifeNeverBeginsAfterItsEndWasReported) {
+  settle();
+  Runner.setChangesId(false);
+  LosesStarts = true;
+  start();
+  crash();
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_TRUE(order_status::Refused == Runner.start(LostStarts.front()).Status);
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
+
+// Guards against orders of a companion that was killed, which begin after the
+// next one has found the endpoint empty.
+TEST(SupervisorLives, OrdersOfAnEarlierCompanionAreRefusedOnceItHasSettled) {
+  settle();
+  Supervisor.start(Now, {.Task = makeTask(), .RunName = "job", .Attempt = 1});
+  const auto Steps = Supervisor.takeSteps();
+  const auto &Order = std::get<runs::send_start>(Steps.back()).Order;
+  Now += Trip;
+  Supervisor = runs::supervisor(Options, Now);
+  Asked.clear();
+  settle();
+  CHECK_TRUE(order_status::Refused == Runner.start(Order).Status);
+}
+
+// The clock of the companion that was killed was ahead of this one's.
+TEST(SupervisorLives, AGreaterFenceOfAnEarlierCompanionIsOvertaken) {
+  Now += std::chrono::hours(2);
+  Supervisor = runs::supervisor(Options, Now);
+  settle();
+  Now -= std::chrono::hours(1);
+  Supervisor = runs::supervisor(Options, Now);
+  Asked.clear();
+  live(milliseconds(200));
+  CHECK_TRUE(Supervisor.isReady());
+  start();
+  CHECK_EQUAL(1U, Runner.getActive().size());
+}
