Keep the explorer's late orders as a known red check

Cause: the model was narrowed to orders that end with the endpoint that received them, by an argument and not by a trace, and the bound on starts after a completion had grown from 1 s to 1.5 s with the one on news of crashes.

--- a/tests/explorer/explorer_test.cpp
+++ b/tests/explorer/explorer_test.cpp
@@ -114,3 +114,17 @@
     }
   }
 }
+
+TEST_GROUP(ExplorerLateOrders){};
+
+// Guards against an order without an answer that the next life of the endpoint
+// carries out after the lease of its run has passed.
+TEST(ExplorerLateOrders, NoneBeginsInTheNextLifeBesideAnotherRun) {
+  scenario Scenario = findScenario("two-jobs").value();
+  Scenario.OrdersOutlive = true;
+  for (const char *Schedule : {"3:4,38:7", "2:4,36:7"}) {
+    if (const auto Found = play(Scenario, parseSchedule(Schedule).value())) {
+      FAIL(describe(Scenario, *Found).c_str());
+    }
+  }
+}
--- a/tests/explorer/lib/companion_node.cpp
+++ b/tests/explorer/lib/companion_node.cpp
@@ -51,7 +51,6 @@
   Options.Self = {.Name = getName(),
                   .Incarnation = incarnation{mix(getLife(), getName())}};
   Options.Seed = static_cast<std::uint64_t>(Options.Self.Incarnation);
-  Wake.reset();
   Latest.reset();
   Announced = false;
   Core = std::make_unique<companion::core>(Options);
@@ -114,17 +113,9 @@
   } else if (const auto *Close = std::get_if<companion::close_link>(&Action)) {
     Network.close(*this, Close->Link);
   } else if (const auto *Timer = std::get_if<companion::wake_at>(&Action)) {
-    Wake = Timer->At;
-    takeAfter(
-        std::max(Timer->At - getNow(), duration::zero()), "timer",
-        mix(getLife(), "core"), {},
-        [this] {
-          Wake.reset();
-          handle(companion::timer_expired{});
-        },
-        [this, At = Timer->At] { return Wake == At; });
+    wakeAt(Timer->At, [this] { handle(companion::timer_expired{}); });
   } else if (std::holds_alternative<companion::stop_finished>(Action)) {
-    kill(milliseconds(100));
+    finishStop();
   }
 }
 
@@ -201,15 +192,16 @@
       return false;
     case fault_kind::ExecuteLate:
       // What a process has received ends with it.
-      World.after(Fault.Span, {.What = "late order",
-                               .Who = Endpoint.getName(),
-                               .Label = mix(Label, "late"),
-                               .Run = [Work] { Work(false); },
-                               .IsValid =
-                                   [this, Life = Endpoint.getLife()] {
-                                     return Endpoint.isAlive() &&
-                                            Endpoint.getLife() == Life;
-                                   }});
+      World.after(Fault.Span,
+                  {.What = "late order",
+                   .Who = Endpoint.getName(),
+                   .Label = mix(Label, "late"),
+                   .Run = [Work] { Work(false); },
+                   .IsValid =
+                       [this, Life = Endpoint.getLife()] {
+                         return Endpoint.isAlive() &&
+                                (OrdersOutlive || Endpoint.getLife() == Life);
+                       }});
       return false;
     case fault_kind::RefuseOrder:
       Refuse();
--- a/tests/explorer/lib/companion_node.h
+++ b/tests/explorer/lib/companion_node.h
@@ -23,6 +23,8 @@
                  runs::options RunOptions, network &Network,
                  endpoint_node &Beside);
 
+  /// Late orders are carried out by the next life of the endpoint, too.
+  void setOrdersOutlive(bool Value) { OrdersOutlive = Value; }
   void requestStop() override;
   void linkOpened(link_id Link) override;
   void linkClosed(link_id Link) override;
@@ -67,9 +69,9 @@
   endpoint_node &Endpoint;
   std::unique_ptr<companion::core> Core;
   std::optional<runs::supervisor> Supervisor;
-  std::optional<instant> Wake;
   std::optional<std::string> Latest; ///< Life of the endpoint, as announced.
   bool Announced = false;
+  bool OrdersOutlive = false;
 };
 
 } // namespace crocuswood::explorer
--- a/tests/explorer/lib/entry_node.cpp
+++ b/tests/explorer/lib/entry_node.cpp
@@ -24,7 +24,6 @@
   Options.Self = {.Name = getName(),
                   .Incarnation = incarnation{mix(getLife(), getName())}};
   Options.Seed = static_cast<std::uint64_t>(Options.Self.Incarnation);
-  Wake.reset();
   Core = std::make_unique<entry::core>(Options);
   handle(entry::entries_read{Entries});
   handle(entry::configuration_read{Configuration});
@@ -94,17 +93,9 @@
   } else if (const auto *Close = std::get_if<entry::close_link>(&Action)) {
     Network.close(*this, Close->Link);
   } else if (const auto *Timer = std::get_if<entry::wake_at>(&Action)) {
-    Wake = Timer->At;
-    takeAfter(
-        std::max(Timer->At - getNow(), duration::zero()), "timer",
-        mix(getLife(), "core"), {},
-        [this] {
-          Wake.reset();
-          handle(entry::timer_expired{});
-        },
-        [this, At = Timer->At] { return Wake == At; });
+    wakeAt(Timer->At, [this] { handle(entry::timer_expired{}); });
   } else if (std::holds_alternative<entry::stop_finished>(Action)) {
-    kill(milliseconds(100));
+    finishStop();
   }
 }
 
--- a/tests/explorer/lib/entry_node.h
+++ b/tests/explorer/lib/entry_node.h
@@ -51,7 +51,6 @@
   network &Network;
   std::unique_ptr<entry::core> Core;
   std::map<request_id, submission_end> Requests;
-  std::optional<instant> Wake;
 };
 
 } // namespace crocuswood::explorer
--- a/tests/explorer/lib/fleet.cpp
+++ b/tests/explorer/lib/fleet.cpp
@@ -20,7 +20,9 @@
 constexpr duration RunLimit = seconds(12);
 constexpr duration CrashDelay = milliseconds(6);
 constexpr duration CrashPause = seconds(1);
-/// Everybody learns of an end or a crash within this, also after a freeze.
+/// Nothing of a job begins later than this after its completion.
+constexpr duration CompletionTime = seconds(1);
+/// Everybody learns of a crash within this, also after a freeze.
 constexpr duration NewsTime = milliseconds(1'500);
 constexpr std::uint32_t TaskMilliCores = 3'800;
 constexpr std::uint16_t LinkPort = 7'000;
@@ -192,6 +194,7 @@
   Companions.push_back(std::make_unique<companion_node>(
       World, "companion-" + std::to_string(Index + 1), Options,
       makeRunOptions(), Network, Endpoint));
+  Companions.back()->setOrdersOutlive(Scenario.OrdersOutlive);
 }
 
 void fleet::run() {
@@ -325,7 +328,7 @@
   if (Caller->getState() == caller::state::Completed) {
     const instant Since =
         CompletedAt.try_emplace(Run.Job, World.getNow()).first->second;
-    if (World.getNow() - Since >= NewsTime) {
+    if (World.getNow() - Since >= CompletionTime) {
       breakPromise(toString(Run) + " begins long after its job has completed");
     }
   }
--- a/tests/explorer/lib/fleet.h
+++ b/tests/explorer/lib/fleet.h
@@ -49,6 +49,8 @@
   std::optional<std::size_t> Deadly;
   duration Window = std::chrono::milliseconds(700); ///< With faults.
   std::optional<guard> Without;
+  /// Late orders are carried out by the next life of their endpoint, too.
+  bool OrdersOutlive = false;
 };
 
 /// \returns the scenarios that are explored.
--- a/tests/explorer/lib/node.cpp
+++ b/tests/explorer/lib/node.cpp
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crocuswood::explorer {
@@ -8,6 +9,8 @@
 
 using std::chrono::milliseconds;
 
+/// After a planned stop.
+constexpr duration RestartPause = milliseconds(100);
 constexpr std::uint64_t LifeSeed = 0x6c696665;
 
 } // namespace
@@ -36,6 +39,7 @@
   History = mix(
       History, static_cast<std::uint64_t>(getNow().time_since_epoch().count()));
   Outputs = 0;
+  Wake.reset();
   begin();
 }
 
@@ -116,6 +120,19 @@
                          }});
 }
 
+void node::wakeAt(instant At, std::function<void()> Work) {
+  Wake = At;
+  takeAfter(
+      std::max(At - getNow(), duration::zero()), "timer", mix(Life, "core"), {},
+      [this, Work = std::move(Work)] {
+        Wake.reset();
+        Work();
+      },
+      [this, At] { return Wake == At; });
+}
+
+void node::finishStop() { kill(RestartPause); }
+
 std::uint64_t node::labelOutput() { return mix(History, ++Outputs); }
 
 std::uint64_t node::digestState() const {
--- a/tests/explorer/lib/node.h
+++ b/tests/explorer/lib/node.h
@@ -8,7 +8,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocuswood::explorer {
@@ -53,6 +55,10 @@
 protected:
   virtual void begin() = 0;
   virtual void end() = 0;
+  /// Takes \p Work at \p At, in place of what an earlier call asked for.
+  void wakeAt(instant At, std::function<void()> Work);
+  /// A planned stop has finished: the process ends and is started anew.
+  void finishStop();
   instant getNow() const { return World.getNow(); }
   world &World;
 
@@ -63,6 +69,7 @@
   bool Frozen = false;
   std::uint64_t History = 0;
   std::uint64_t Outputs = 0;
+  std::optional<instant> Wake;
   std::vector<std::pair<std::uint64_t, std::function<void()>>> Held;
 };
 
--- a/tests/explorer/program/explore_runs.cpp
+++ b/tests/explorer/program/explore_runs.cpp
@@ -22,7 +22,9 @@
     "explore_runs SCENARIO play SCHEDULE [without GUARD]\n"
     "  faults: plays every schedule of up to COUNT faults\n"
     "  random: plays COUNT random schedules of up to FAULTS faults\n"
-    "  play:   plays one schedule, as it was printed\n";
+    "  play:   plays one schedule, as it was printed\n"
+    "A word `outlive` at the end lets the next life of an endpoint carry out\n"
+    "late orders of the one before.\n";
 
 class report {
 public:
@@ -115,6 +117,7 @@
 }
 
 int run(scenario Scenario, std::vector<std::string> Words) {
+  Scenario.OrdersOutlive = std::erase(Words, "outlive") > 0;
   const auto Without = std::ranges::find(Words, "without");
   if (Without != Words.end() && std::next(Without) != Words.end()) {
     for (const guard Each : listGuards()) {
