Review: show that a late order reaches the next life of its runner

Cause: the proof that a start without an answer never runs holds for one life of the runner only, and the next life knows neither stop nor fence.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -552,6 +552,57 @@
         writer.close()
 
 
+class OrderProxy(Server):
+    """Stands between a companion and its runner, and may hold the next start.
+
+    The held order gets no answer. It is delivered to the same address as soon as deliver() has
+    been called and somebody listens there."""
+
+    def __init__(self, runner, proxies):
+        super().__init__()
+        self.runner = runner
+        self.all = proxies
+        self.hold_next = False
+        self.held = None
+        self.may_deliver = asyncio.Event()
+
+    def prepare(self, hold):
+        self.hold_next = hold
+        self.held = None
+        self.may_deliver = asyncio.Event()
+
+    async def answer(self, method, target, headers, value):
+        if self.hold_next and target == "/run-start":
+            for proxy in self.all:
+                proxy.hold_next = False
+            self.held = value["task"]
+            self.runner.record.add("held", task=value["task"], attempt=value["attempt"],
+                                   deadline_ms=value.get("deadline_ms"))
+            asyncio.create_task(self.carry_out_late(target, headers, value))
+            await asyncio.sleep(60)
+            return None
+        status, reply = await self.forward(target, headers, value)
+        return None if status is None else (status, reply)
+
+    async def forward(self, target, headers, value):
+        passed = {}
+        if "expect-instance" in headers:
+            passed["Expect-Instance"] = headers["expect-instance"]
+        return await call(self.runner.address, "POST", target, value, passed)
+
+    async def carry_out_late(self, target, headers, value):
+        await self.may_deliver.wait()
+        status = None
+        while status is None:
+            status, reply = await self.forward(target, headers, value)
+            await asyncio.sleep(0.001)
+        self.runner.record.add("carried out late", task=value["task"], status=status,
+                               answer=reply)
+
+    def deliver(self):
+        self.may_deliver.set()
+
+
 class Daemon:
     """One process of the system, which may be frozen, killed and started again."""
 
@@ -588,7 +639,7 @@
 class Fleet:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, folder, record, entries=2, companions=8, cpu=6400):
+    def __init__(self, folder, record, entries=2, companions=8, cpu=6400, proxies=False):
         self.folder = folder
         self.record = record
         self.judge = Judge(record)
@@ -597,6 +648,7 @@
         self.daemons = []
         self.entries = []
         self.companions = []
+        self.order_proxies = [] if proxies else None
         self.beat_paths = []  # From each runner to its companion.
         self.entry_count = entries
         self.companion_count = companions
@@ -640,6 +692,12 @@
             runner = Runner(number + 1, self.record, self.judge, self.runners,
                             beat_path.address, self.cpu)
             await runner.start(each, app)
+            if self.order_proxies is not None:
+                proxy = OrderProxy(runner, self.order_proxies)
+                port = free_port(each)
+                await proxy.listen(each, port)
+                fields["app"] = f"{each}:{port}"
+                self.order_proxies.append(proxy)
         self.daemons = self.entries + self.companions
         for daemon in self.daemons:
             daemon.start()
