--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -764,6 +764,8 @@
 def run_case(case, record_path, **options):
     """Runs case(fleet) and exits with 1 if it returns faults, with 0 if not, else with 2."""
     record = Record(record_path)
+    # The processes that were started are ended also when the script is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     async def play(folder):
         fleet = Fleet(folder, record, **options)
