--- a/review/common/stand_ins.py
+++ b/review/stand_ins.py
@@ -17,7 +17,7 @@
 import time
 import tomllib
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 DEPLOYED_SETTINGS = "/etc/crocuswood/node.yaml"
 
 # Bounds of the sites, from the pages.
