Log what ends runs early: lives, announcements, leases, unknown runs

What operators lacked: when a task ran twice, the logs could not tell a restart of an endpoint from an announcement of somebody else, a lease that was not renewed, or a refusal by a status from one without an answer.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -129,6 +129,28 @@
   /// Other tasks had been ordered there, and may have run.
   bool MayHaveOthers = false;
 };
+/// The endpoint has begun another life.
+struct endpoint_restarted {
+  std::string From; ///< Empty if it is the first life that was seen.
+  std::string To;
+  std::uint32_t EndedRuns = 0;
+};
+/// An announcement does not count for the endpoint beside this process.
+struct announcement_ignored {
+  std::string Name; ///< Who announced itself.
+  std::string Reason;
+};
+/// The lease of the endpoint's runs is not renewed from now on.
+struct lease_withheld {
+  std::uint32_t Runs = 0;
+  std::string Reason;
+};
+/// The endpoint lists runs that nothing in this life has ordered. They are
+/// stopped.
+struct unknown_runs {
+  std::uint32_t Count = 0;
+  std::string First; ///< One of them, by its job, task and attempt.
+};
 /// The endpoint no longer answers, whatever it last announced.
 struct endpoint_silent {
   std::string Reason;
@@ -138,12 +160,14 @@
 /// be fetched.
 struct stop_requested {};
 
-using event = std::variant<link_opened, envelope_received, link_closed,
-                           entries_read, configuration_read, endpoint_announced,
-                           run_completed, run_failed, run_not_reached, run_lost,
-                           run_stopped, run_refused, endpoint_settled,
-                           endpoint_silent, endpoint_crashed, bootstrap_changed,
-                           timer_expired, stop_requested>;
+using event =
+    std::variant<link_opened, envelope_received, link_closed, entries_read,
+                 configuration_read, endpoint_announced, run_completed,
+                 run_failed, run_not_reached, run_lost, run_stopped,
+                 run_refused, endpoint_settled, endpoint_silent,
+                 endpoint_crashed, endpoint_restarted, announcement_ignored,
+                 lease_withheld, unknown_runs, bootstrap_changed, timer_expired,
+                 stop_requested>;
 
 // Actions.
 
--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -266,9 +266,12 @@
 }
 
 void core::implementation::on(const step &Step, run_refused &Event) {
-  Desk.endRun(Step, Event.Task, [](const ended_run & /*Run*/) {
-    return task_not_started{.Reason = not_started_reason::Refused};
-  });
+  Desk.endRun(
+      Step, Event.Task,
+      [](const ended_run & /*Run*/) {
+        return task_not_started{.Reason = not_started_reason::Refused};
+      },
+      Event.Reason);
   FreeSlots.report(Event.Task.Job.Entry);
 }
 
@@ -293,6 +296,39 @@
   }
 }
 
+void core::implementation::on(const step &Step,
+                              const endpoint_restarted &Event) {
+  timeline_event Line =
+      makeEvent(event_kind::EndpointRestarted, Endpoint.getName());
+  Line.Reason = Event.From.empty()
+                    ? "life " + Event.To + " is the first"
+                    : "life " + Event.To + " follows " + Event.From;
+  Line.Value = Event.EndedRuns;
+  Step.record(std::move(Line));
+}
+
+void core::implementation::on(const step &Step,
+                              const announcement_ignored &Event) {
+  timeline_event Line = makeEvent(event_kind::AnnouncementIgnored, Event.Name);
+  Line.Reason = Event.Reason;
+  Step.record(std::move(Line));
+}
+
+void core::implementation::on(const step &Step, const lease_withheld &Event) {
+  timeline_event Line =
+      makeEvent(event_kind::LeaseWithheld, Endpoint.getName());
+  Line.Reason = Event.Reason;
+  Line.Value = Event.Runs;
+  Step.record(std::move(Line));
+}
+
+void core::implementation::on(const step &Step, const unknown_runs &Event) {
+  timeline_event Line = makeEvent(event_kind::UnknownRuns, Endpoint.getName());
+  Line.Reason = Event.First;
+  Line.Value = Event.Count;
+  Step.record(std::move(Line));
+}
+
 void core::implementation::on(const step &Step,
                               const timer_expired & /*Event*/) {
   Wake.reset();
--- a/packages/companion/src/core_implementation.h
+++ b/packages/companion/src/core_implementation.h
@@ -47,6 +47,10 @@
   void on(const step &Step, const endpoint_settled &Event);
   void on(const step &Step, const endpoint_silent &Event);
   void on(const step &Step, endpoint_crashed &Event);
+  void on(const step &Step, const endpoint_restarted &Event);
+  void on(const step &Step, const announcement_ignored &Event);
+  void on(const step &Step, const lease_withheld &Event);
+  void on(const step &Step, const unknown_runs &Event);
   void on(const step &Step, const timer_expired &Event);
   void on(const step &Step, const stop_requested &Event);
   void finishEvent(const step &Step);
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -395,7 +395,7 @@
 }
 
 void task_desk::finish(const step &Step, const task_id &Task, task_end End,
-                       duration RunTime) {
+                       duration RunTime, const std::string &Detail) {
   timeline_event Event = makeEvent(event_kind::TaskLost, Task);
   Event.Value = RunTime.count();
   if (const auto *Completed = std::get_if<task_completed>(&End)) {
@@ -407,6 +407,7 @@
   } else if (const auto *Refused = std::get_if<task_not_started>(&End)) {
     Event.Kind = event_kind::TaskNotStarted;
     Event.Code = toString(Refused->Reason);
+    Event.Reason = Detail;
   } else if (const auto *Lost = std::get_if<task_lost>(&End)) {
     Event.Reason = Lost->Reason;
   } else if (const auto *Stopped = std::get_if<task_stopped>(&End)) {
--- a/packages/companion/src/task_desk.h
+++ b/packages/companion/src/task_desk.h
@@ -41,12 +41,13 @@
   /// Sends the retained ends of \p Peer again.
   void resendEnds(entry_peer &Peer);
   /// Frees the slot of a running task. A task that is not running is ignored.
-  /// \p MakeEnd gets the ended run.
+  /// \p MakeEnd gets the ended run. \p Detail says why it was refused.
   template <class Maker>
-  void endRun(const step &Step, const task_id &Task, Maker MakeEnd) {
+  void endRun(const step &Step, const task_id &Task, Maker MakeEnd,
+              const std::string &Detail = {}) {
     const auto Run = takeRunning(Step, Task);
     if (Run) {
-      finish(Step, Task, MakeEnd(*Run), Run->RunTime);
+      finish(Step, Task, MakeEnd(*Run), Run->RunTime, Detail);
     }
   }
 
@@ -124,7 +125,7 @@
   void refuse(const step &Step, const task_id &Task, not_started_reason Reason);
   /// Records, keeps and sends an end.
   void finish(const step &Step, const task_id &Task, task_end End,
-              duration RunTime = {});
+              duration RunTime = {}, const std::string &Detail = {});
   void send(const entry_peer &Peer, peer_message Message);
 
   const options &Options;
--- a/packages/model/include/crocuswood/model/timeline_event.h
+++ b/packages/model/include/crocuswood/model/timeline_event.h
@@ -86,13 +86,19 @@
             ///< longest part).
   InputDropped, ///< Value (bytes); a caller's connection has ended with input
                 ///< that came after its last answer.
-  EndpointCrashed, ///< Peer (endpoint), Value (tasks that were on it), Reason
-                   ///< (those that it probably crashed under).
+  EndpointCrashed,   ///< Peer (endpoint), Value (tasks that were on it), Reason
+                     ///< (those that it probably crashed under).
+  EndpointRestarted, ///< Peer (endpoint), Reason (both lives and what told of
+                     ///< the new one), Value (runs that it ended).
+  AnnouncementIgnored, ///< Peer (who announced itself).
+  LeaseWithheld,       ///< Peer (endpoint), Value (runs without a renewal).
+  UnknownRuns, ///< Peer (endpoint), Value (listed runs that this companion did
+               ///< not order in its life), Reason (one of them).
 };
 
 /// Tables by kind have this many places.
 constexpr std::size_t EventKindCount =
-    static_cast<std::size_t>(event_kind::EndpointCrashed) + 1;
+    static_cast<std::size_t>(event_kind::UnknownRuns) + 1;
 
 /// \returns the kind in snake case, such as `task_started`.
 std::string_view toString(event_kind Kind);
--- a/packages/model/src/timeline_event.cpp
+++ b/packages/model/src/timeline_event.cpp
@@ -61,6 +61,10 @@
     "turn_slow",
     "input_dropped",
     "endpoint_crashed",
+    "endpoint_restarted",
+    "announcement_ignored",
+    "lease_withheld",
+    "unknown_runs",
 };
 static_assert(!KindNames.back().empty());
 
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -142,7 +142,7 @@
   /// Does so if an endpoint whose leases have ended is probably gone.
   void checkGone(instant Now);
   void rememberUnseen(crashed_task Task);
-  static crashed_task describe(const run_id &Id, const run &Run);
+  static crashed_task makeCrashed(const run_id &Id, const run &Run);
   void settle();
   /// Reports the end of a run that did not complete.
   void endRun(run_map::iterator Place, const std::string &Reason);
@@ -150,6 +150,8 @@
   void checkSilence(instant Now);
   void sendList(instant Now);
   bool mayRenew(instant Now) const;
+  /// Tells the core when renewals end.
+  void noteWithheld(bool Is);
   template <class Event> void tell(Event Value) {
     Steps.emplace_back(tell_core{.Event = std::move(Value)});
   }
@@ -175,8 +177,10 @@
   bool Listing = false;
   bool ListLost = false; ///< The latest listing had no answer.
   instant ListSentAt;
-  instant ListedAt;  ///< Of the latest answer.
-  instant RenewedAt; ///< The latest lease was sent.
+  instant ListedAt;      ///< Of the latest answer.
+  instant RenewedAt;     ///< The latest lease was sent.
+  bool Withheld = false; ///< The latest listing did not renew, though runs are
+                         ///< known.
   bool Settled = false;
   bool Silent = false;
   std::vector<step> Steps;
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -12,6 +12,11 @@
 /// The time of day may have gone back by minutes between two lives.
 constexpr std::uint64_t FirstFenceStep = 1'000'000;
 
+std::string describe(const run_id &Run) {
+  return "task " + std::to_string(Run.Task) + " of " + Run.Job + ", attempt " +
+         std::to_string(Run.Attempt);
+}
+
 } // namespace
 
 supervisor::supervisor(options Options, instant Now)
@@ -233,16 +238,24 @@
 void supervisor::checkForeign(instant Now, const std::set<run_id> &Active) {
   std::erase_if(Foreign,
                 [&](const auto &Item) { return !Active.contains(Item.first); });
+  companion::unknown_runs Unknown;
   for (const run_id &Id : Active) {
     if (Runs.contains(Id)) {
       continue;
     }
     const auto [Place, Added] = Foreign.try_emplace(Id, Now);
+    if (Added) {
+      ++Unknown.Count;
+      Unknown.First = describe(Id);
+    }
     if (Added || Now - Place->second >= Options.StopRetry) {
       Place->second = Now;
       Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
     }
   }
+  if (Unknown.Count > 0) {
+    tell(std::move(Unknown));
+  }
 }
 
 void supervisor::noteLife(instant Now, const std::string &Announced) {
@@ -256,6 +269,12 @@
 }
 
 void supervisor::changeLife(instant Now, const std::string &Next) {
+  const auto Ended = std::ranges::count_if(
+      Runs, [](const auto &Item) { return Item.second.Seen; });
+  tell(companion::endpoint_restarted{.From = Life,
+                                     .To = Next,
+                                     .EndedRuns =
+                                         static_cast<std::uint32_t>(Ended)});
   rememberProved();
   reportCrash();
   Departing = false;
@@ -279,7 +298,7 @@
 void supervisor::rememberProved() {
   for (const auto &[Id, Run] : Runs) {
     if (isProved(Run)) {
-      rememberUnseen(describe(Id, Run));
+      rememberUnseen(makeCrashed(Id, Run));
     } else {
       EndedUnproved = true;
     }
@@ -315,7 +334,7 @@
   }
 }
 
-crashed_task supervisor::describe(const run_id &Id, const run &Run) {
+crashed_task supervisor::makeCrashed(const run_id &Id, const run &Run) {
   return {.RunName = Id.Job,
           .Index = Id.Task,
           .Class = Run.Class,
@@ -384,13 +403,25 @@
                        .Fence = Fence};
   ListFence = Fence;
   // The endpoint's clock is not known before its first listing.
-  if (!Life.empty() && mayRenew(Now)) {
+  const bool Renews = !Life.empty() && mayRenew(Now);
+  if (Renews) {
     Request.Lease = Options.Lease;
     RenewedAt = Now;
   }
+  noteWithheld(!Renews && !Runs.empty());
   Steps.emplace_back(send_list{.Request = Request});
 }
 
+void supervisor::noteWithheld(bool Is) {
+  if (Is && !Withheld) {
+    tell(companion::lease_withheld{
+        .Runs = static_cast<std::uint32_t>(Runs.size()),
+        .Reason =
+            Silent ? "the endpoint is silent" : "a stop has had no effect"});
+  }
+  Withheld = Is;
+}
+
 void supervisor::advance(instant Now) {
   for (auto &[Id, Run] : Runs) {
     if (Now - Run.UnclearAt >= Options.StartProofLimit) {
--- a/packages/timeline/src/event_text.cpp
+++ b/packages/timeline/src/event_text.cpp
@@ -68,6 +68,10 @@
     "a turn of the decisions took %span",
     "dropped input after the last answer of a connection",
     "endpoint %peer crashed under %value task(s)",
+    "endpoint %peer began another life, which ended %value run(s)",
+    "announcement of %peer ignored",
+    "the lease of %value run(s) on endpoint %peer is not renewed",
+    "endpoint %peer lists %value run(s) that nobody has ordered",
 };
 static_assert(!Happenings.back().empty());
 
--- a/packages/timeline/src/job_story.cpp
+++ b/packages/timeline/src/job_story.cpp
@@ -45,6 +45,10 @@
   case event_kind::TurnSlow:
   case event_kind::InputDropped:
   case event_kind::EndpointCrashed:
+  case event_kind::EndpointRestarted:
+  case event_kind::AnnouncementIgnored:
+  case event_kind::LeaseWithheld:
+  case event_kind::UnknownRuns:
     return true;
   default:
     return false;
--- a/programs/crocuswoodd/items.h
+++ b/programs/crocuswoodd/items.h
@@ -89,7 +89,9 @@
                  companion::run_failed, companion::run_not_reached,
                  companion::run_lost, companion::run_stopped,
                  companion::run_refused, companion::endpoint_settled,
-                 companion::endpoint_silent, companion::endpoint_crashed>;
+                 companion::endpoint_silent, companion::endpoint_crashed,
+                 companion::endpoint_restarted, companion::announcement_ignored,
+                 companion::lease_withheld, companion::unknown_runs>;
 using endpoint_command =
     std::variant<companion::start_task, companion::stop_task>;
 
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -32,10 +32,15 @@
     : Clock(Clock), ToDecisions(ToDecisions), FromDecisions(FromDecisions),
       Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
       Supervisor(Options, Clock.now()),
-      Runner(Duty.getContext(), Orders,
-             [this](companion::endpoint_announcement Announcement) {
-               takeAnnouncement(std::move(Announcement));
-             }),
+      Runner(
+          Duty.getContext(), Orders,
+          [this](companion::endpoint_announcement Announcement) {
+            takeAnnouncement(std::move(Announcement));
+          },
+          [this](std::string Name, std::string Reason) {
+            push(companion::announcement_ignored{.Name = std::move(Name),
+                                                 .Reason = std::move(Reason)});
+          }),
       Timer(Duty.getContext()) {
   Duty.setDrain([this] { takeCommands(); });
 }
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -40,6 +40,9 @@
                      .Port = std::get<std::uint16_t>(Lists)},
         [this](const companion::endpoint_announcement &Announcement) {
           Announced.push_back(Announcement);
+        },
+        [this](const std::string &Name, const std::string & /*Reason*/) {
+          Ignored.push_back(Name);
         });
     const auto Port = Runner->listen({.Host = "127.0.0.1"});
     Beats = {.Host = "127.0.0.1", .Port = std::get<std::uint16_t>(Port)};
@@ -103,6 +106,7 @@
                             }};
   http::plain_client Client{Context, 1, Limit};
   std::vector<companion::endpoint_announcement> Announced;
+  std::vector<std::string> Ignored; ///< Names in heartbeats without effect.
   std::unique_ptr<runner> Runner;
   peer_address Beats;
 };
@@ -123,6 +127,7 @@
   Other.replace(Other.find("\"gpu\""), 5, "\"gxu\"");
   CHECK_EQUAL(400U, beat("i-1", Other));
   CHECK_EQUAL(1U, Announced.size());
+  CHECK_EQUAL(1U, Ignored.size());
 }
 
 // Guards against a heartbeat of a runner that has crashed, delivered after its
