Take an endpoint's life from its own list, not from announcements

Cause: a heartbeat of any sender that named another life counted as proof that the endpoint had restarted. The companion reported all listed runs as ended and the entries repeated them, while they went on until their lease lapsed. Orders then carried the id of that heartbeat, so that the endpoint refused starts and stops. Change: runs::announcement_filter lets an announcement count only if the endpoint's own list, the answer to a question of this companion, names the same life; others are held until it does, within bounds. Within a life the name, address and classes can't change. Only a listing changes the life. Orders name the instance whose announcement counts. A new life gets no work before it has announced itself, since its room may differ. The adapter only passes heartbeats on.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -56,6 +56,9 @@
   std::string Life; ///< Differs between the starts of the endpoint, if known.
   peer_address Address;
   endpoint_report Offer; ///< State Serving or Leaving.
+  /// Grows with every announcement of one life, if it is known; tells a delayed
+  /// one.
+  std::uint64_t Sequence = 0;
 
   friend bool operator==(const endpoint_announcement &,
                          const endpoint_announcement &) = default;
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -173,7 +173,9 @@
 struct start_order {
   run_id Run;
   payload Input;
-  std::string Life; ///< Of the endpoint that is meant; another one refuses.
+  std::string Life; ///< Of the endpoint that is meant.
+  /// Name under which that life has announced itself; another one refuses.
+  std::string Instance;
   duration Lease{}; ///< For everything on the endpoint, from the sending on.
   /// An endpoint refuses orders whose number is smaller than one that it has
   /// seen in its life.
@@ -182,6 +184,16 @@
   friend bool operator==(const start_order &, const start_order &) = default;
 };
 
+/// Orders a leased endpoint to stop a run. A run that has not begun is barred
+/// from beginning.
+struct stop_order {
+  run_id Run;
+  std::string Instance;    ///< As in start_order; empty for any.
+  std::uint64_t Fence = 0; ///< As in start_order.
+
+  friend bool operator==(const stop_order &, const stop_order &) = default;
+};
+
 /// How an order to a leased endpoint ended.
 enum class order_status : std::uint8_t {
   Done,       ///< Carried out.
@@ -239,8 +251,7 @@
   virtual ~leased_endpoint() = default;
   virtual void start(start_order Order,
                      std::function<void(order_outcome)> Done) = 0;
-  /// Stops \p Run. A run that has not begun is barred from beginning.
-  virtual void stop(const run_id &Run, std::uint64_t Fence,
+  virtual void stop(const stop_order &Order,
                     std::function<void(order_outcome)> Done) = 0;
   virtual void list(list_request Request,
                     std::function<void(list_outcome)> Done) = 0;
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -52,8 +52,7 @@
   start_order Order;
 };
 struct send_stop {
-  run_id Run;
-  std::uint64_t Fence = 0; ///< As in start_order.
+  stop_order Order;
 };
 struct send_list {
   list_request Request;
@@ -64,6 +63,39 @@
 };
 using step = std::variant<send_start, send_stop, send_list, tell_core>;
 
+/// Decides which announcements are those of the endpoint that takes the
+/// orders. Anybody can send one, and a late one may be of an earlier life, so
+/// an announcement counts only if the endpoint's own list names the same life.
+class announcement_filter {
+public:
+  /// An announcement that counts, or why it does not.
+  using verdict = std::variant<companion::endpoint_announcement, std::string>;
+
+  verdict take(companion::endpoint_announcement Announcement);
+  /// The endpoint has listed its runs in \p Life. \returns the announcement of
+  /// that life, if it came before.
+  std::optional<companion::endpoint_announcement>
+  noteListed(const std::string &Life);
+  /// The endpoint \p Name says that it is about to end. \returns its latest
+  /// announcement, as absent.
+  verdict takeLeave(const std::string &Name);
+  /// \returns the latest announcement of the life that was listed last, or
+  /// nothing.
+  const companion::endpoint_announcement *getLatest() const;
+
+private:
+  /// \returns why \p Announcement can't be of the life that has announced
+  /// itself, or nothing.
+  std::string
+  findContradiction(const companion::endpoint_announcement &Announcement) const;
+  void hold(companion::endpoint_announcement Announcement);
+
+  std::optional<std::string> Listed; ///< The life.
+  std::optional<companion::endpoint_announcement> Latest;
+  /// Of lives that have not been listed, the latest at the back.
+  std::deque<companion::endpoint_announcement> Held;
+};
+
 /// Knows of every run whether it may still go on. A run is reported as ended
 /// only with proof: a listed end, a refusal, a listing from after a confirmed
 /// stop or with a greater fence than the start's, or a lease that was not
@@ -82,10 +114,11 @@
                        const order_outcome &Outcome);
   /// Takes the answer to the latest send_list.
   void takeList(instant Now, const list_outcome &Outcome);
-  /// The endpoint has announced itself with this life.
-  void noteLife(instant Now, const std::string &Life);
-  /// The endpoint is about to end as planned, with everything on it.
-  void noteDeparture(const std::string &Life);
+  /// Somebody has announced itself as the endpoint. The core is told of it if
+  /// the endpoint's own list names the same life.
+  void takeAnnouncement(companion::endpoint_announcement Announcement);
+  /// The endpoint \p Name is about to end as planned, with everything on it.
+  void takeLeave(const std::string &Name);
   /// Does what time alone makes due.
   void advance(instant Now);
   /// \returns when advance() is due next.
@@ -119,7 +152,12 @@
   };
   using run_map = std::map<run_id, run>;
 
+  /// Tells the core of the endpoint. One that does not answer is not
+  /// announced, whatever it says of itself; that it leaves is always passed on.
+  void announce();
+  void ignore(const std::string &Name, std::string Reason);
   void sendStop(instant Now, const run_id &Id, run &Run);
+  stop_order makeStop(const run_id &Id) const;
   /// Takes what proves that the start was carried out.
   static void confirm(instant Now, run &Run);
   /// Stops a run whose start has no answer, since no listing shows it.
@@ -128,6 +166,8 @@
   void takeEnd(const listed_end &End);
   void takeListFailure(instant Now, list_failure Failure);
   void fallSilent(const std::string &Reason);
+  /// The core gives the endpoint no work until it is announced again.
+  void suspend(const std::string &Reason);
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
   void changeLife(instant Now, const std::string &Life);
@@ -158,6 +198,8 @@
 
   options Options;
   std::string Life; ///< Of the endpoint as last listed.
+  announcement_filter Announcements;
+  bool Announced = false; ///< The core knows the latest announcement.
   run_map Runs;
   std::map<task_id, run_id> ByTask;
   std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -31,9 +31,13 @@
   const run_id Id{.Job = std::move(Start.RunName),
                   .Task = Start.Task.Index,
                   .Attempt = Start.Attempt};
-  if (!isReady()) {
-    tell(companion::run_refused{.Task = Start.Task,
-                                .Reason = "the endpoint does not answer"});
+  const companion::endpoint_announcement *Endpoint = Announcements.getLatest();
+  if (!isReady() || Endpoint == nullptr) {
+    tell(companion::run_refused{
+        .Task = Start.Task,
+        .Reason = Endpoint == nullptr ? "the endpoint has not announced "
+                                        "its life"
+                                      : "the endpoint does not answer"});
     return;
   }
   if (Runs.contains(Id)) {
@@ -51,6 +55,7 @@
   Steps.emplace_back(send_start{.Order = {.Run = Id,
                                           .Input = std::move(Start.Input),
                                           .Life = Life,
+                                          .Instance = Endpoint->Name,
                                           .Lease = Options.Lease,
                                           .Fence = Fence}});
 }
@@ -69,7 +74,14 @@
 void supervisor::sendStop(instant Now, const run_id &Id, run &Run) {
   Run.StopAskedAt = Run.StopAskedAt.value_or(Now);
   Run.StopSentAt = Now;
-  Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
+  Steps.emplace_back(send_stop{makeStop(Id)});
+}
+
+stop_order supervisor::makeStop(const run_id &Id) const {
+  const companion::endpoint_announcement *Endpoint = Announcements.getLatest();
+  return {.Run = Id,
+          .Instance = Endpoint == nullptr ? std::string() : Endpoint->Name,
+          .Fence = Fence};
 }
 
 void supervisor::takeStartOutcome(instant Now, const run_id &Id,
@@ -130,6 +142,9 @@
   ListLost = false;
   Refuses = false;
   ListedAt = Now;
+  if (Announcements.noteListed(List.Life)) {
+    Announced = false;
+  }
   if (List.Life != Life) {
     changeLife(Now, List.Life);
   }
@@ -145,6 +160,7 @@
     settle();
   }
   Silent = false;
+  announce();
   sendList(Now);
 }
 
@@ -167,10 +183,16 @@
 void supervisor::fallSilent(const std::string &Reason) {
   if (!Silent) {
     Silent = true;
-    tell(companion::endpoint_silent{.Reason = Reason});
+    suspend(Reason);
   }
 }
 
+void supervisor::suspend(const std::string &Reason) {
+  // The endpoint is announced anew once it answers.
+  Announced = false;
+  tell(companion::endpoint_silent{.Reason = Reason});
+}
+
 void supervisor::takeEnds(const run_list &List) {
   for (const listed_end &End : List.Ended) {
     if (End.Number > Acknowledged) {
@@ -250,7 +272,7 @@
     }
     if (Added || Now - Place->second >= Options.StopRetry) {
       Place->second = Now;
-      Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
+      Steps.emplace_back(send_stop{makeStop(Id)});
     }
   }
   if (Unknown.Count > 0) {
@@ -258,14 +280,44 @@
   }
 }
 
-void supervisor::noteLife(instant Now, const std::string &Announced) {
-  if (!Life.empty() && Announced != Life) {
-    changeLife(Now, Announced);
+void supervisor::takeAnnouncement(
+    companion::endpoint_announcement Announcement) {
+  const std::string Name = Announcement.Name;
+  auto Verdict = Announcements.take(std::move(Announcement));
+  if (auto *Reason = std::get_if<std::string>(&Verdict)) {
+    ignore(Name, std::move(*Reason));
+    return;
   }
+  Announced = false;
+  announce();
 }
 
-void supervisor::noteDeparture(const std::string &Announced) {
-  Departing = Departing || Announced == Life;
+void supervisor::takeLeave(const std::string &Name) {
+  auto Verdict = Announcements.takeLeave(Name);
+  if (auto *Reason = std::get_if<std::string>(&Verdict)) {
+    ignore(Name, std::move(*Reason));
+    return;
+  }
+  Departing = true;
+  Announced = false;
+  announce();
+}
+
+void supervisor::ignore(const std::string &Name, std::string Reason) {
+  tell(companion::announcement_ignored{.Name = Name,
+                                       .Reason = std::move(Reason)});
+}
+
+void supervisor::announce() {
+  const companion::endpoint_announcement *Latest = Announcements.getLatest();
+  if (Latest == nullptr || Announced) {
+    return;
+  }
+  const bool Serves = Latest->Offer.State == endpoint_state::Serving;
+  if (!Serves || isReady()) {
+    Announced = true;
+    tell(companion::endpoint_announced{.Announcement = *Latest});
+  }
 }
 
 void supervisor::changeLife(instant Now, const std::string &Next) {
@@ -289,9 +341,15 @@
   }
   Fence = std::max(Fence + 1,
                    static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+  const bool IsFirst = Life.empty();
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
+  if (!IsFirst && Announcements.getLatest() == nullptr) {
+    // What an earlier life announced, its room above all, says nothing of this
+    // one.
+    suspend("its new life has not announced itself");
+  }
 }
 
 // A run that was ordered without any proof may never have begun.
@@ -432,6 +490,7 @@
     }
   }
   checkSilence(Now);
+  announce();
   if (!Listing && Now - ListSentAt >= Options.ListRetry) {
     sendList(Now);
   }
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -35,7 +35,12 @@
       Runner(
           Duty.getContext(), Orders,
           [this](companion::endpoint_announcement Announcement) {
-            takeAnnouncement(std::move(Announcement));
+            Supervisor.takeAnnouncement(std::move(Announcement));
+            carryOut();
+          },
+          [this](const std::string &Name) {
+            Supervisor.takeLeave(Name);
+            carryOut();
           },
           [this](std::string Name, std::string Reason) {
             push(companion::announcement_ignored{.Name = std::move(Name),
@@ -78,70 +83,38 @@
   carryOut();
 }
 
-void leased_endpoint_duty::takeAnnouncement(
-    companion::endpoint_announcement Announcement) {
-  Supervisor.noteLife(Clock.now(), Announcement.Life);
-  if (Announcement.Offer.State == endpoint_state::Absent) {
-    Supervisor.noteDeparture(Announcement.Life);
-  }
-  Latest = std::move(Announcement);
-  Announced = false;
-  carryOut();
-}
-
-// An endpoint that does not answer is not announced, whatever it says of
-// itself. That it leaves is always passed on.
-void leased_endpoint_duty::announce() {
-  if (!Latest || Announced) {
-    return;
-  }
-  const bool Serves = Latest->Offer.State == endpoint_state::Serving;
-  if (!Serves || Supervisor.isReady()) {
-    Announced = true;
-    push(companion::endpoint_announced{.Announcement = *Latest});
-  }
-}
-
 void leased_endpoint_duty::carryOut() {
   for (runs::step &Step : Supervisor.takeSteps()) {
     carryOut(std::move(Step));
   }
-  announce();
 }
 
 void leased_endpoint_duty::carryOut(runs::step Step) {
   std::visit(
-      overloaded{[&](runs::send_start &Send) {
-                   const run_id Run = Send.Order.Run;
-                   Runner.start(std::move(Send.Order),
-                                [this, Run](const order_outcome &Outcome) {
-                                  Supervisor.takeStartOutcome(Clock.now(), Run,
-                                                              Outcome);
-                                  carryOut();
-                                });
-                 },
-                 [&](const runs::send_stop &Send) {
-                   Runner.stop(
-                       Send.Run, Send.Fence,
-                       [this, Run = Send.Run](const order_outcome &Outcome) {
-                         Supervisor.takeStopOutcome(Clock.now(), Run, Outcome);
-                         carryOut();
-                       });
-                 },
-                 [&](const runs::send_list &Send) {
-                   Runner.list(Send.Request, [this](const list_outcome &List) {
-                     Supervisor.takeList(Clock.now(), List);
-                     carryOut();
-                   });
-                 },
-                 [&](runs::tell_core &Tell) {
-                   if (std::holds_alternative<companion::endpoint_silent>(
-                           Tell.Event)) {
-                     // It is announced anew once it answers.
-                     Announced = false;
-                   }
-                   push(toItem(std::move(Tell.Event)));
-                 }},
+      overloaded{
+          [&](runs::send_start &Send) {
+            const run_id Run = Send.Order.Run;
+            Runner.start(std::move(Send.Order),
+                         [this, Run](const order_outcome &Outcome) {
+                           Supervisor.takeStartOutcome(Clock.now(), Run,
+                                                       Outcome);
+                           carryOut();
+                         });
+          },
+          [&](const runs::send_stop &Send) {
+            Runner.stop(Send.Order, [this, Run = Send.Order.Run](
+                                        const order_outcome &Outcome) {
+              Supervisor.takeStopOutcome(Clock.now(), Run, Outcome);
+              carryOut();
+            });
+          },
+          [&](const runs::send_list &Send) {
+            Runner.list(Send.Request, [this](const list_outcome &List) {
+              Supervisor.takeList(Clock.now(), List);
+              carryOut();
+            });
+          },
+          [&](runs::tell_core &Tell) { push(toItem(std::move(Tell.Event))); }},
       Step);
 }
 
--- a/programs/crocuswoodd/leased_endpoint_duty.h
+++ b/programs/crocuswoodd/leased_endpoint_duty.h
@@ -14,7 +14,6 @@
 #include <crocuswood/site.h>
 
 #include <functional>
-#include <optional>
 
 namespace crocuswood::daemon {
 
@@ -31,8 +30,6 @@
 
 private:
   void takeCommands();
-  void takeAnnouncement(companion::endpoint_announcement Announcement);
-  void announce();
   void tick();
   void carryOut();
   void carryOut(runs::step Step);
@@ -45,8 +42,6 @@
   runs::supervisor Supervisor;
   site::runner Runner;
   boost::asio::steady_timer Timer;
-  std::optional<companion::endpoint_announcement> Latest;
-  bool Announced = false; ///< Whether `Latest` was passed on.
 };
 
 } // namespace crocuswood::daemon
