Suspend the endpoint before the ends of an earlier life free its room

What callers would see: tasks on an endpoint that has come back smaller, beyond its room (LIMIT), or on one that leaves (DRAIN). Cause: if the announcement of a new life came before its first listing, the companion's core heard of the ends of the earlier life's runs first, and started queued tasks against the earlier room; the supervisor sent them to the new life. Change: a change of life suspends the endpoint before any end is told, and starts name the life whose room was counted on; the supervisor refuses those of an earlier life.

--- a/packages/companion/include/crocuswood/companion.h
+++ b/packages/companion/include/crocuswood/companion.h
@@ -198,6 +198,8 @@
   std::uint32_t Attempt = 1;
   /// Endpoints that crashed under earlier starts, as far as is known.
   std::uint32_t Crashes = 0;
+  /// Of the endpoint whose room was counted on; empty for any.
+  std::string Life;
 };
 /// Asks the endpoint to stop a running task.
 struct stop_task {
--- a/packages/companion/src/endpoint_monitor.cpp
+++ b/packages/companion/src/endpoint_monitor.cpp
@@ -13,6 +13,7 @@
   const endpoint_report Before = getReport();
   LastHeard = Step.Now;
   Name = Announcement.Name;
+  Life = Announcement.Life;
   Address = Announcement.Address;
   Offer = Announcement.Offer;
   if (getReport() == Before) {
--- a/packages/companion/src/endpoint_monitor.h
+++ b/packages/companion/src/endpoint_monitor.h
@@ -32,6 +32,8 @@
   /// \returns what entries are told.
   endpoint_report getReport() const;
   const std::string &getName() const { return Name; }
+  /// \returns the announced life, empty if it is not known.
+  const std::string &getLife() const { return Life; }
   const peer_address &getAddress() const { return Address; }
   /// \returns when an endpoint that stays silent counts as absent.
   std::optional<instant> getNextWake() const;
@@ -39,6 +41,7 @@
 private:
   duration AnnouncementLimit;
   std::string Name;
+  std::string Life;
   peer_address Address;
   endpoint_report Offer;
   bool Stopping = false;
--- a/packages/companion/src/task_desk.cpp
+++ b/packages/companion/src/task_desk.cpp
@@ -253,7 +253,8 @@
                                        .Endpoint = Run.Endpoint,
                                        .RunName = std::move(Placement.RunName),
                                        .Attempt = Placement.Attempt,
-                                       .Crashes = Placement.Crashes});
+                                       .Crashes = Placement.Crashes,
+                                       .Life = Endpoint.getLife()});
 }
 
 void task_desk::askToStop(const step &Step, const task_id &Task) {
--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -174,7 +174,8 @@
   run_id Run;
   payload Input;
   std::string Life; ///< Of the endpoint that is meant.
-  /// Name under which that life has announced itself; another one refuses.
+  /// Name under which that life has announced itself. An endpoint of another
+  /// name refuses; a later life under the same name does not.
   std::string Instance;
   duration Lease{}; ///< For everything on the endpoint, from the sending on.
   /// An endpoint refuses orders whose number is smaller than one that it has
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -72,10 +72,9 @@
   using verdict = std::variant<companion::endpoint_announcement, std::string>;
 
   verdict take(companion::endpoint_announcement Announcement);
-  /// The endpoint has listed its runs in \p Life. \returns the announcement of
-  /// that life, if it came before.
-  std::optional<companion::endpoint_announcement>
-  noteListed(const std::string &Life);
+  /// The endpoint has listed its runs in \p Life. An announcement of that life
+  /// which came before counts from now on.
+  void noteListed(const std::string &Life);
   /// The endpoint \p Name says that it is about to end. \returns its latest
   /// announcement, as absent.
   verdict takeLeave(const std::string &Name);
@@ -90,7 +89,8 @@
   findContradiction(const companion::endpoint_announcement &Announcement) const;
   void hold(companion::endpoint_announcement Announcement);
 
-  std::optional<std::string> Listed; ///< The life.
+  std::optional<std::string> ListedLife;
+  /// That counted last; perhaps of an earlier life.
   std::optional<companion::endpoint_announcement> Latest;
   /// Of lives that have not been listed, the latest at the back.
   std::deque<companion::endpoint_announcement> Held;
--- a/packages/runs/src/announcement_filter.cpp
+++ b/packages/runs/src/announcement_filter.cpp
@@ -14,9 +14,9 @@
 
 announcement_filter::verdict
 announcement_filter::take(companion::endpoint_announcement Announcement) {
-  if (!Listed || Announcement.Life != *Listed) {
+  if (!ListedLife || Announcement.Life != *ListedLife) {
     std::string Reason =
-        "the endpoint does not list its runs in life " + Announcement.Life;
+        "held until the endpoint lists its runs in life " + Announcement.Life;
     hold(std::move(Announcement));
     return Reason;
   }
@@ -30,7 +30,8 @@
 }
 
 const companion::endpoint_announcement *announcement_filter::getLatest() const {
-  return Latest && Listed && Latest->Life == *Listed ? &*Latest : nullptr;
+  return Latest && ListedLife && Latest->Life == *ListedLife ? &*Latest
+                                                             : nullptr;
 }
 
 std::string announcement_filter::findContradiction(
@@ -64,20 +65,17 @@
   }
 }
 
-std::optional<companion::endpoint_announcement>
-announcement_filter::noteListed(const std::string &Life) {
-  if (Listed == Life) {
-    return std::nullopt;
+void announcement_filter::noteListed(const std::string &Life) {
+  if (ListedLife == Life) {
+    return;
   }
-  Listed = Life;
+  ListedLife = Life;
   const auto Own =
       std::ranges::find(Held, Life, &companion::endpoint_announcement::Life);
-  if (Own == Held.end()) {
-    return std::nullopt;
+  if (Own != Held.end()) {
+    Latest = std::move(*Own);
+    Held.erase(Own);
   }
-  Latest = std::move(*Own);
-  Held.erase(Own);
-  return Latest;
 }
 
 announcement_filter::verdict
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -40,6 +40,11 @@
                                       : "the endpoint does not answer"});
     return;
   }
+  if (!Start.Life.empty() && Start.Life != Life) {
+    tell(companion::run_refused{.Task = Start.Task,
+                                .Reason = "it was meant for an earlier life"});
+    return;
+  }
   if (Runs.contains(Id)) {
     tell(companion::run_refused{.Task = Start.Task,
                                 .Reason = "this run goes on already"});
@@ -142,9 +147,7 @@
   ListLost = false;
   Refuses = false;
   ListedAt = Now;
-  if (Announcements.noteListed(List.Life)) {
-    Announced = false;
-  }
+  Announcements.noteListed(List.Life);
   if (List.Life != Life) {
     changeLife(Now, List.Life);
   }
@@ -327,6 +330,10 @@
                                      .To = Next,
                                      .EndedRuns =
                                          static_cast<std::uint32_t>(Ended)});
+  if (!Life.empty()) {
+    // Precedes the ends of runs, whose room is that of the earlier life.
+    suspend("it has begun another life");
+  }
   rememberProved();
   reportCrash();
   Departing = false;
@@ -341,15 +348,9 @@
   }
   Fence = std::max(Fence + 1,
                    static_cast<std::uint64_t>(Now.time_since_epoch().count()));
-  const bool IsFirst = Life.empty();
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
-  if (!IsFirst && Announcements.getLatest() == nullptr) {
-    // What an earlier life announced, its room above all, says nothing of this
-    // one.
-    suspend("its new life has not announced itself");
-  }
 }
 
 // A run that was ordered without any proof may never have begun.
--- a/tests/runs/announcement_test.cpp
+++ b/tests/runs/announcement_test.cpp
@@ -56,7 +56,7 @@
   Filter.noteListed("7");
   CHECK_TRUE(take("i-1", "7", 90, 8'000));
   CHECK_FALSE(take("i-2", "900", 1, 4'000));
-  CHECK_TRUE(Filter.noteListed("900").has_value());
+  Filter.noteListed("900");
   CHECK_FALSE(take("i-1", "7", 91, 8'000));
   CHECK_FALSE(take("i-2", "7", 92, 8'000));
   CHECK_EQUAL(4'000U, getCores());
@@ -68,7 +68,7 @@
   Filter.noteListed("9000");
   CHECK_TRUE(take("i-1", "9000", 90, 8'000));
   CHECK_FALSE(take("i-1", "7000", 1, 4'000));
-  CHECK_TRUE(Filter.noteListed("7000").has_value());
+  Filter.noteListed("7000");
   CHECK_EQUAL(4'000U, getCores());
   CHECK_TRUE(take("i-1", "7000", 2, 2'000));
   CHECK_EQUAL(2'000U, getCores());
@@ -100,7 +100,7 @@
   CHECK_FALSE(take("i-2", "9", 1));
   CHECK_FALSE(take("i-1", "7", 1));
   CHECK_TRUE(Filter.getLatest() == nullptr);
-  CHECK_TRUE(Filter.noteListed("7").has_value());
+  Filter.noteListed("7");
   STRCMP_EQUAL("i-1", Filter.getLatest()->Name.c_str());
 }
 
@@ -108,8 +108,10 @@
   for (std::uint64_t Life = 100; Life < 10'000; ++Life) {
     CHECK_FALSE(take("i-2", std::to_string(Life), 1));
   }
-  CHECK_FALSE(Filter.noteListed("100").has_value());
-  CHECK_TRUE(Filter.noteListed("9999").has_value());
+  Filter.noteListed("100");
+  CHECK_TRUE(Filter.getLatest() == nullptr);
+  Filter.noteListed("9999");
+  CHECK_TRUE(Filter.getLatest() != nullptr);
 }
 
 TEST(Announcements, OnlyTheEndpointItselfLeaves) {
@@ -173,3 +175,41 @@
   start(1);
   CHECK_EQUAL(1U, Runner.getActive().size());
 }
+
+// Guards against work that was meant for the room of an earlier life: the ends
+// of the runs that a restart took along free their room before the new life
+// is known.
+TEST(ForeignAnnouncements, ANewLifeIsSuspendedBeforeTheEndsOfTheEarlierOne) {
+  Runner.setRunTime(std::chrono::seconds(30));
+  settle();
+  start();
+  live(milliseconds(20));
+  Told.clear();
+  Runner.restart();
+  beat();
+  answerLists();
+  std::vector<std::string> Order;
+  for (const companion::event &Each : Told) {
+    if (std::holds_alternative<companion::endpoint_silent>(Each)) {
+      Order.emplace_back("silent");
+    } else if (std::holds_alternative<companion::run_stopped>(Each)) {
+      Order.emplace_back("stopped");
+    } else if (std::holds_alternative<companion::endpoint_announced>(Each)) {
+      Order.emplace_back("announced");
+    }
+  }
+  CHECK_TRUE(Order ==
+             std::vector<std::string>({"silent", "stopped", "announced"}));
+}
+
+TEST(ForeignAnnouncements, AStartThatWasMeantForAnEarlierLifeIsRefused) {
+  settle();
+  const std::string Earlier = Runner.getLife();
+  crash();
+  Supervisor.start(
+      Now,
+      {.Task = makeTask(), .RunName = "job", .Attempt = 1, .Life = Earlier});
+  deliver();
+  CHECK_EQUAL(1U, count<companion::run_refused>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+}
