Let a stop prove nothing of a later life of the endpoint

What callers would see: a task that runs twice. Cause: a start without an answer was given back after a stop that an earlier life had confirmed, at the first listing of the next life. That life knows no bar and no fence yet, so the start could still begin there. Change: for a run that was ordered in an earlier life only its listed end, the answer to its start or a listing with a greater fence counts. Evidence: the test failed before: a run was reported as ended at the first listing of the next life, 1 instead of 0.

--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -246,11 +246,14 @@
     stopUnproved(Now, Each->first, Run);
     // Only a listing that was asked for after the answer can prove anything.
     const bool Confirmed = Run.ConfirmedAt && *Run.ConfirmedAt <= ListSentAt;
-    const bool Stopped = Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
+    // A stop bars the run in one life only, and an order that reaches the next
+    // one finds another clock there.
+    const bool Stopped =
+        !Run.Outlived && Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
     // An order that arrives after the lease that it carries is refused. Until
     // then stops are repeated, of which one is likely to arrive before it.
     const bool Expired =
-        Run.Phase == phase::Unclear && Run.StopAskedAt &&
+        !Run.Outlived && Run.Phase == phase::Unclear && Run.StopAskedAt &&
         ListSentAt - *Run.StopAskedAt >= Options.Lease + Options.LeaseMargin;
     const bool Fenced = Run.Fence < ListFence;
     if (Confirmed || Stopped || Expired || Fenced) {
--- a/tests/runs/supervisor_life_test.cpp
+++ b/tests/runs/supervisor_life_test.cpp
@@ -97,3 +97,28 @@
   start();
   CHECK_EQUAL(1U, Runner.getActive().size());
 }
+
+// Guards against a stop that an earlier life has confirmed and that bars
+// nothing in the next one: the start may still reach that life before its fence
+// is known there.
+TEST(SupervisorLives, AStopInAnEarlierLifeProvesNothingOfTheNextOne) {
+  settle();
+  Runner.setChangesId(false);
+  LosesStarts = true;
+  start();
+  // The listing finds no such run, and the stop is confirmed.
+  Asked.clear();
+  pass(Options.StartProofLimit + milliseconds(1));
+  CHECK_TRUE(Stops > 0);
+  // A listing from after the stop is answered by the next life.
+  Supervisor.takeList(Now, list_failure::NoAnswer);
+  pass(Options.ListRetry + milliseconds(1));
+  Runner.restart();
+  answerLists();
+  CHECK_EQUAL(0U, count<companion::run_stopped>());
+  CHECK_EQUAL(0U, count<companion::run_refused>());
+  CHECK_EQUAL(0U, Runner.getActive().size());
+  live(milliseconds(20));
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_TRUE(order_status::Refused == Runner.start(LostStarts.front()).Status);
+}
