Acknowledge no ends after a lost listing

What callers would see: a task whose end is forgotten unread, and which is repeated although it has completed. Cause: the first listing that a new life answered still carried the acknowledged number of the earlier life. Evidence: the test failed before: 1 was acknowledged instead of 0.

--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -459,7 +459,8 @@
 void supervisor::sendList(instant Now) {
   Listing = true;
   ListSentAt = Now;
-  list_request Request{.Acknowledged = Acknowledged,
+  // After a lost listing the next life may answer, whose ends begin anew.
+  list_request Request{.Acknowledged = ListLost ? 0 : Acknowledged,
                        .Wait = ListLost || Life.empty() ? duration::zero()
                                                         : Options.ListWait,
                        .Fence = Fence};
--- a/tests/runs/supervisor_life_test.cpp
+++ b/tests/runs/supervisor_life_test.cpp
@@ -122,3 +122,19 @@
   CHECK_EQUAL(1U, count<companion::run_stopped>());
   CHECK_TRUE(order_status::Refused == Runner.start(LostStarts.front()).Status);
 }
+
+// Guards against an end of the next life that is forgotten before it was read,
+// since an earlier life had acknowledged a greater number.
+TEST(SupervisorLives, AfterALostListingNothingIsAcknowledged) {
+  settle();
+  start();
+  live(milliseconds(130));
+  CHECK_TRUE(AllAsked.back().Acknowledged > 0);
+  LosesLists = true;
+  live(milliseconds(100));
+  CHECK_EQUAL(0U, AllAsked.back().Acknowledged);
+  LosesLists = false;
+  live(milliseconds(100));
+  CHECK_TRUE(AllAsked.back().Acknowledged > 0);
+  CHECK_EQUAL(1U, count<companion::run_completed>());
+}
