Count the crash of an endpoint that goes on serving after a late leave

What operators would see: a crash that is not counted for the tasks that ran. Cause: a late leave of an earlier life under the same name marked the present life as one that ends as planned, for good. Change: an announcement that counts and serves takes that back. Evidence: the test failed before: no crash was told. The fixture's endpoint that leaves announces itself no more.

--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -294,6 +294,9 @@
     ignore(Name, std::move(*Reason));
     return;
   }
+  // A leave that was late was that of an earlier life.
+  Departing = Departing &&
+              Announcements.getLatest()->Offer.State != endpoint_state::Serving;
   Announced = false;
   announce();
 }
--- a/tests/runs/announcement_test.cpp
+++ b/tests/runs/announcement_test.cpp
@@ -213,3 +213,15 @@
   CHECK_EQUAL(1U, count<companion::run_refused>());
   CHECK_EQUAL(0U, Runner.getActive().size());
 }
+
+// Guards against crashes that are not counted: a late leave of an earlier life
+// under the same name would make the next crash a planned end.
+TEST(ForeignAnnouncements, ALifeThatGoesOnServingHasNotLeft) {
+  settle();
+  Supervisor.takeLeave("runner-1");
+  deliver();
+  live(milliseconds(50));
+  start();
+  crash();
+  CHECK_EQUAL(1U, findCrash().size());
+}
--- a/tests/runs/supervisor_crash_test.cpp
+++ b/tests/runs/supervisor_crash_test.cpp
@@ -112,7 +112,7 @@
   settle();
   Runner.setRunTime(std::chrono::seconds(30));
   start();
-  Supervisor.takeLeave("runner-1");
+  leave();
   Runner.restart();
   live(milliseconds(20));
   CHECK_EQUAL(1U, count<companion::run_stopped>());
@@ -185,7 +185,7 @@
 TEST(SupervisorCrashes, AnEndpointThatHasLeftAndRefusesIsNoCrash) {
   settle();
   start();
-  Supervisor.takeLeave("runner-1");
+  leave();
   LosesLists = true;
   Failure = list_failure::Refused;
   live(std::chrono::seconds(1));
--- a/tests/runs/supervisor_fixture.h
+++ b/tests/runs/supervisor_fixture.h
@@ -42,6 +42,9 @@
 
   /// The endpoint announces its present life.
   void beat() {
+    if (LeftLife == Runner.getLife()) {
+      return;
+    }
     Supervisor.takeAnnouncement({.Name = "runner-1",
                                  .Life = Runner.getLife(),
                                  .Offer = {.State = endpoint_state::Serving},
@@ -49,6 +52,13 @@
     deliver();
   }
 
+  /// The endpoint says that its present life ends, and announces it no more.
+  void leave() {
+    LeftLife = Runner.getLife();
+    Supervisor.takeLeave("runner-1");
+    deliver();
+  }
+
   void start(std::uint32_t Index = 0, std::uint32_t Attempt = 1) {
     Supervisor.start(Now, {.Task = makeTask(Index),
                            .Class = "fast",
@@ -110,6 +120,7 @@
 
   std::size_t Stops = 0;
   std::uint64_t Beats = 0;
+  std::string LeftLife;
   std::vector<list_request> AllAsked; ///< All listings so far.
   std::vector<list_request> Asked;    ///< Listings not answered yet.
 
