Replace a companion only once its next life has answered

Callers would see: a task that may run again runs on two endpoints at once, and after that the living companion is refused for ever ("A newer incarnation of this companion is known") by this entry.

Cause: a hello of another incarnation under a known name replaced the known one at once. A hello can arrive after its process has been killed, also after the next life has linked and has tasks; the entry then gave the tasks of the living one back.

That another living companion is chosen, so that two runs go on at once, follows from the code and was not played.

Change: such a hello is answered with the entry's hello and an empty resume_request; only the resume_reply on that link makes its sender replace the known incarnation, which keeps its link, tasks and leases until then. What the companion says meanwhile is kept (up to 256 messages) and counts after the answer. Without an answer the link is refused after the silence limit. A companion that dials again is asked on its latest link. One round trip more after a restart; no message or version changes.

--- a/packages/entry/src/link_manager.cpp
+++ b/packages/entry/src/link_manager.cpp
@@ -1,6 +1,7 @@
 #include "link_manager.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocuswood::entry {
@@ -9,6 +10,9 @@
 
 // Earlier incarnations remembered for each companion.
 constexpr std::size_t MaxReplaced = 4;
+// Messages of a companion that are kept until it has answered. It answers
+// within a round trip and sends a few meanwhile.
+constexpr std::size_t MaxHeld = 256;
 
 template <class... Handlers> struct overloads : Handlers... {
   using Handlers::operator()...;
@@ -32,12 +36,17 @@
                                 .Silence = State.Options.SilenceLimit} {}
 
 void link_manager::open(link_id Link) {
-  Pending[static_cast<std::uint64_t>(Link)] = State.now();
+  Pending[static_cast<std::uint64_t>(Link)] = {.OpenedAt = State.now()};
 }
 
 void link_manager::receive(link_id Link, std::vector<peer_message> Messages) {
-  if (Pending.contains(static_cast<std::uint64_t>(Link))) {
-    receiveFirst(Link, Messages);
+  if (const auto Place = Pending.find(static_cast<std::uint64_t>(Link));
+      Place != Pending.end()) {
+    if (Place->second.Hello) {
+      receiveClaim(Link, Messages);
+    } else {
+      receiveFirst(Link, Messages);
+    }
     return;
   }
   const companion_index Companion = State.Companions.find(Link);
@@ -68,13 +77,71 @@
     return;
   }
   ++State.Messages.Received;
-  takeHello(Link, *Hello);
+  closeClaims(Link, Hello->Companion);
+  if (mustProve(*Hello)) {
+    ask(Link, *Hello);
+  } else {
+    takeHello(Link, *Hello);
+  }
   Messages.erase(Messages.begin());
   if (!Messages.empty()) {
     receive(Link, std::move(Messages));
   }
 }
 
+bool link_manager::mustProve(const companion_hello &Hello) const {
+  const companion_index Known = State.Companions.find(Hello.Companion.Name);
+  if (Known == NoCompanion) {
+    return false;
+  }
+  const companion_record &Record = State.Companions[Known];
+  return Record.Id != Hello.Companion &&
+         std::find(Record.Replaced.begin(), Record.Replaced.end(),
+                   Hello.Companion) == Record.Replaced.end();
+}
+
+void link_manager::ask(link_id Link, const companion_hello &Hello) {
+  Pending[static_cast<std::uint64_t>(Link)].Hello = Hello;
+  // A new incarnation has no task of this entry.
+  std::vector<peer_message> Messages{makeHello(), resume_request{}};
+  State.Messages.Sent += Messages.size();
+  State.Sink.push(send_messages{.Link = Link, .Messages = std::move(Messages)});
+}
+
+void link_manager::receiveClaim(link_id Link,
+                                std::vector<peer_message> &Messages) {
+  pending_link &Claim = Pending[static_cast<std::uint64_t>(Link)];
+  const bool IsAnswered = std::any_of(
+      Messages.begin(), Messages.end(), [](const peer_message &Message) {
+        return std::holds_alternative<resume_reply>(Message);
+      });
+  std::move(Messages.begin(), Messages.end(), std::back_inserter(Claim.Held));
+  if (!IsAnswered) {
+    if (Claim.Held.size() > MaxHeld) {
+      refuseLink(Link, "The companion said much and answered nothing.");
+    }
+    return;
+  }
+  std::vector<peer_message> Held = std::move(Claim.Held);
+  const companion_hello Hello = std::move(*Claim.Hello);
+  takeHello(Link, Hello);
+  receive(Link, std::move(Held));
+}
+
+// A companion that dials again has given up its earlier link.
+void link_manager::closeClaims(link_id Link, const process_id &Companion) {
+  std::vector<link_id> Outdated;
+  for (const auto &[Other, Claim] : Pending) {
+    if (link_id{Other} != Link && Claim.Hello &&
+        Claim.Hello->Companion == Companion) {
+      Outdated.push_back(link_id{Other});
+    }
+  }
+  for (const link_id Each : Outdated) {
+    refuseLink(Each, "The companion has opened a new link.");
+  }
+}
+
 void link_manager::refuseLink(link_id Link, const std::string &Reason) {
   Pending.erase(static_cast<std::uint64_t>(Link));
   State.Sink.recordPeer(event_kind::LinkClosed, {}, Reason);
@@ -82,15 +149,14 @@
 }
 
 void link_manager::takeHello(link_id Link, const companion_hello &Hello) {
-  const companion_index Known = State.Companions.find(Hello.Companion.Name);
-  const bool IsNewLife =
-      Known != NoCompanion && State.Companions[Known].Id != Hello.Companion;
+  const auto Place = Pending.find(static_cast<std::uint64_t>(Link));
+  const bool WasAsked = Place->second.Hello.has_value();
   const companion_index Companion = enrol(Link, Hello);
   if (Companion == NoCompanion) {
     refuseLink(Link, "A newer incarnation of this companion is known.");
     return;
   }
-  Pending.erase(static_cast<std::uint64_t>(Link));
+  Pending.erase(Place);
   companion_record &Record = State.Companions[Companion];
   Record.Zone = Hello.Zone;
   Record.Operators = Hello.Operators;
@@ -103,9 +169,11 @@
   Record.HeardAt = State.now();
   State.Companions.attachLink(Companion, Link, State.now());
   State.Sink.recordPeer(event_kind::LinkOpened, Record.Id.Name);
-  greet(Companion);
-  if (!IsNewLife) {
+  if (!WasAsked) {
+    greet(Companion);
     resume(Companion);
+  } else if (State.Stopping) {
+    sendHeartbeat(Companion);
   }
 }
 
@@ -146,16 +214,19 @@
 }
 
 void link_manager::greet(companion_index Companion) {
-  State.Companions.openOutbox(Companion).add(
-      entry_hello{.Entry = State.Options.Self,
-                  .Zone = State.Options.Zone,
-                  .ConfigurationRevision = State.Configuration.Revision,
-                  .KnownEntries = State.Entries});
+  State.Companions.openOutbox(Companion).add(makeHello());
   if (State.Stopping) {
     sendHeartbeat(Companion);
   }
 }
 
+entry_hello link_manager::makeHello() const {
+  return {.Entry = State.Options.Self,
+          .Zone = State.Options.Zone,
+          .ConfigurationRevision = State.Configuration.Revision,
+          .KnownEntries = State.Entries};
+}
+
 void link_manager::resume(companion_index Companion) {
   const companion_record &Record = State.Companions[Companion];
   // Also without outstanding tasks: what the companion has in its queue from an
@@ -274,16 +345,18 @@
 
 void link_manager::closePendingLinks() {
   std::vector<link_id> Expired;
-  for (const auto &[Link, OpenedAt] : Pending) {
+  for (const auto &[Link, Waiting] : Pending) {
     // What this process has not got to yet is no delay of the companion.
-    if (State.now() - State.Overload.getLag() - OpenedAt >
+    if (State.now() - State.Overload.getLag() - Waiting.OpenedAt >
         State.Options.SilenceLimit) {
       Expired.push_back(link_id{Link});
     }
   }
   std::sort(Expired.begin(), Expired.end());
   for (const link_id Link : Expired) {
-    refuseLink(Link, "No hello came in time.");
+    refuseLink(Link, Pending[static_cast<std::uint64_t>(Link)].Hello
+                         ? "No answer to the hello came in time."
+                         : "No hello came in time.");
   }
 }
 
--- a/packages/entry/src/link_manager.h
+++ b/packages/entry/src/link_manager.h
@@ -7,6 +7,8 @@
 #include "health.h"
 #include "task_ends.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,6 +17,12 @@
 
 /// Follows every link from its opening to its end. Tasks stay outstanding on a
 /// companion without a link until it resumes, is replaced, or is lost.
+///
+/// A hello can arrive long after its process has died, so it does not prove
+/// that its sender is the living incarnation. One that is known by its name
+/// only replaces the known incarnation once it has answered a resume request
+/// on its link. A companion dials after its endpoint has settled, so that the
+/// answer also proves that no run of the earlier incarnation goes on.
 class link_manager {
 public:
   link_manager(entry_state &State, task_ends &Ends,
@@ -32,7 +40,19 @@
   void flush();
 
 private:
+  /// A link that is not that of a known companion yet.
+  struct pending_link {
+    instant OpenedAt;
+    std::optional<companion_hello> Hello; ///< Its sender has been asked.
+    std::vector<peer_message> Held;       ///< What followed the hello.
+  };
+
   void receiveFirst(link_id Link, std::vector<peer_message> &Messages);
+  void receiveClaim(link_id Link, std::vector<peer_message> &Messages);
+  bool mustProve(const companion_hello &Hello) const;
+  void ask(link_id Link, const companion_hello &Hello);
+  void closeClaims(link_id Link, const process_id &Companion);
+  entry_hello makeHello() const;
   void takeHello(link_id Link, const companion_hello &Hello);
   companion_index enrol(link_id Link, const companion_hello &Hello);
   void replace(companion_index Companion, const process_id &Next);
@@ -53,8 +73,7 @@
   configuration_keeper &Configurations;
   health &Health;
   link_intervals Intervals;
-  /// Links without a hello yet, and when they were opened.
-  std::unordered_map<std::uint64_t, instant> Pending;
+  std::unordered_map<std::uint64_t, pending_link> Pending;
 };
 
 } // namespace crocuswood::entry
--- a/tests/entry/entry_harness.cpp
+++ b/tests/entry/entry_harness.cpp
@@ -58,6 +58,15 @@
 
 void entry_harness::connect(link_id Link, const std::string &Name,
                             std::uint32_t Slots, incarnation Incarnation) {
+  const std::size_t Asked = sent<resume_request>(Link).size();
+  greet(Link, Name, Slots, Incarnation);
+  if (sent<resume_request>(Link).size() > Asked) {
+    receive(Link, {resume_reply{}});
+  }
+}
+
+void entry_harness::greet(link_id Link, const std::string &Name,
+                          std::uint32_t Slots, incarnation Incarnation) {
   handle(link_opened{.Link = Link});
   receive(Link, {companion_hello{
                     .Companion = {.Name = Name, .Incarnation = Incarnation},
--- a/tests/entry/entry_harness.h
+++ b/tests/entry/entry_harness.h
@@ -31,9 +31,13 @@
   /// Moves time on in small steps, with a timer event at each.
   void pass(duration Span);
 
-  /// Brings up a companion with \p Slots slots for all classes.
+  /// Brings up a companion with \p Slots slots for all classes. Like a real one
+  /// it answers a resume request.
   void connect(link_id Link, const std::string &Name, std::uint32_t Slots = 8,
                incarnation Incarnation = incarnation{1});
+  /// Opens a link on which a companion's hello arrives, and nothing more.
+  void greet(link_id Link, const std::string &Name, std::uint32_t Slots = 8,
+             incarnation Incarnation = incarnation{1});
   void receive(link_id Link, std::vector<peer_message> Messages);
   /// Sends the end of a task from the companion on \p Link.
   void end(link_id Link, const task_id &Task, task_end End);
