Count a lease only for a stamp of the process that asked

Callers would see: a task that may run again runs twice. A companion keeps the runs of an entry for too long after the entry has given them up.

Cause: the entry kept the stamp of the latest lease request when the companion was replaced or had a new link, and granted it on the next link. The stamp is on the clock of the earlier life; if that was ahead, the next life took a lease far into its future. The companion took any stamp.

Evidence, before the change: link_test.cpp:214: Failure in TEST(Links, WhatAnEarlierLifeOrLinkAskedForIsNotGranted) CHECK_TRUE(Entry.sent<lease_grant>(A2).empty()) failed lease_test.cpp:95: Failure in TEST(Lease, AGrantForAStampThatIsStillToComeVouchesForNothing) expected <0> but was <1> (start_task)

Change: a new link forgets the stamp and that it was asked for; every replacement attaches a link. A companion ignores a grant for a stamp later than its own time.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -154,7 +154,7 @@
   } else if (const auto *List = std::get_if<entry_list>(&Message)) {
     Links.addKnown(List->Entries);
   } else if (const auto *Grant = std::get_if<lease_grant>(&Message)) {
-    Leases.grant(Peer, *Grant);
+    Leases.grant(Step, Peer, *Grant);
   } else if (auto *Push = std::get_if<configuration_push>(&Message)) {
     Peer.Revision = std::max(Peer.Revision, Push->Configuration.Revision);
     adopt(Step, std::move(Push->Configuration));
--- a/packages/companion/src/entry_leases.cpp
+++ b/packages/companion/src/entry_leases.cpp
@@ -4,8 +4,13 @@
 
 namespace crocuswood::companion {
 
-void entry_leases::grant(entry_peer &Peer, const lease_grant &Grant) const {
+void entry_leases::grant(const step &Step, entry_peer &Peer,
+                         const lease_grant &Grant) const {
   const instant At{Grant.At};
+  if (At > Step.Now) {
+    // This process has not asked with that stamp, so it answers another life.
+    return;
+  }
   Peer.LeaseUntil = std::max(Peer.LeaseUntil, At + Options.EntryLease);
 }
 
--- a/packages/companion/src/entry_leases.h
+++ b/packages/companion/src/entry_leases.h
@@ -22,7 +22,9 @@
                entry_links &Links, task_desk &Desk)
       : Options(Options), Entries(Entries), Links(Links), Desk(Desk) {}
 
-  void grant(entry_peer &Peer, const lease_grant &Grant) const;
+  /// Counts only for a stamp that this process can have sent.
+  void grant(const step &Step, entry_peer &Peer,
+             const lease_grant &Grant) const;
   /// Ends what has lost its lease, and asks for leases that tasks wait for.
   /// \p MakeHeartbeat is called for each entry that is asked.
   void check(const step &Step,
--- a/packages/entry/src/companion_table.cpp
+++ b/packages/entry/src/companion_table.cpp
@@ -103,6 +103,9 @@
     Links.erase(static_cast<std::uint64_t>(*Record.Link));
   }
   Record.Link = Link;
+  // A stamp counts only towards the process that asked, on its own clock.
+  Record.LeaseStamp = duration::zero();
+  Record.LeaseAsked = false;
   Links[static_cast<std::uint64_t>(Link)] = Index;
   refreshClasses(Index, Now);
 }
--- a/tests/companion/lease_test.cpp
+++ b/tests/companion/lease_test.cpp
@@ -87,6 +87,19 @@
   CHECK_EQUAL(1U, countStops());
 }
 
+// Guards against a lease that is too long, by a stamp of an earlier life of the
+// companion, whose clock was ahead.
+TEST(Lease, AGrantForAStampThatIsStillToComeVouchesForNothing) {
+  const duration Ahead = Driver.Now.time_since_epoch() + Lease * 3;
+  receive({lease_grant{.At = Ahead}, makeLeasedPlacement(1)});
+  CHECK_EQUAL(0U, countStarts());
+  grant();
+  CHECK_EQUAL(1U, countStarts());
+  receive({lease_grant{.At = Ahead}});
+  Driver.pass(Lease + milliseconds(50));
+  CHECK_EQUAL(1U, countStops());
+}
+
 TEST(Lease, ATaskOnALinkThatWasIdleAsksForALeaseAndStartsWithIt) {
   grant();
   Driver.pass(Lease * 2);
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -204,6 +204,25 @@
   CHECK_TRUE(Leased.actions<close_link>().back().Link == A);
 }
 
+// Guards against a lease that is too long: each life of a companion has a clock
+// of its own, and that of an earlier one may be ahead.
+TEST(Links, WhatAnEarlierLifeOrLinkAskedForIsNotGranted) {
+  Entry.receive(A, {lease_request{.At = std::chrono::hours(9)}});
+  Entry.greet(A2, "runner-a", 8, incarnation{2});
+  Entry.receive(A2, {resume_reply{}});
+  Entry.pass(std::chrono::seconds(1));
+  CHECK_TRUE(Entry.sent<lease_grant>(A2).empty());
+  Entry.receive(A2, {lease_request{.At = std::chrono::hours(1)}});
+  Entry.handle(link_closed{.Link = A2});
+  Entry.connect(A3, "runner-a", 8, incarnation{2});
+  Entry.pass(std::chrono::seconds(1));
+  CHECK_TRUE(Entry.sent<lease_grant>(A3).empty());
+  Entry.receive(A3, {lease_request{.At = std::chrono::minutes(1)}});
+  Entry.pass(std::chrono::seconds(1));
+  CHECK_EQUAL(1U, Entry.sent<lease_grant>(A3).size());
+  CHECK_TRUE(Entry.sent<lease_grant>(A3)[0].At == std::chrono::minutes(1));
+}
+
 TEST(Links, AHelloThatIsNotAnsweredInTimeIsRefused) {
   Entry.greet(A2, "runner-a", 8, incarnation{2});
   for (int Each = 0; Each < 8; ++Each) {
