Show that a late hello of an entry's earlier life misleads nobody

A hello of an earlier incarnation of an entry that arrives late makes a companion drop the queue and the kept ends of the living one, until that one is linked again. What the companion says then stays true: a dropped task is remembered as given back, so that no placement starts it; a run goes on and is named as running; an end that is no longer kept is "lost", never "not started". The cost is service: a job with such an end fails as one that may have run.

No change of code.

--- a/tests/companion/link_test.cpp
+++ b/tests/companion/link_test.cpp
@@ -242,3 +242,41 @@
   Driver.feed(run_completed{.Task = makeTask(1)});
   CHECK_EQUAL(1U, Driver.countStarts());
 }
+
+// The living entry loses its queue and its ends by this, but what it hears of
+// its tasks afterwards must be true, and none may run twice.
+TEST(CompanionOrphans, ALateHelloOfAnEarlierIncarnationLeadsToNoFalseWord) {
+  driver Driver;
+  Driver.announce(1);
+  const link_id A = Driver.linkA();
+  for (const std::uint64_t Each : {1, 2, 3}) {
+    Driver.receive(A, makePlacement(makeTask(Each)));
+  }
+  Driver.feed(run_completed{.Task = makeTask(1), .Output = payload("1")});
+  Driver.feed(entries_read{{AddressA, AddressB}});
+  const link_id Dead = Driver.open(AddressB, EntryB, "entry-a");
+  CHECK_EQUAL(1U, Driver.countEvents(event_kind::PeerReplaced));
+  Driver.feed(link_closed{.Link = Dead});
+  Driver.pass(seconds(1));
+  Driver.announce(1);
+  CHECK_TRUE(Driver.findDial(AddressA) != A);
+  const link_id New =
+      Driver.open(AddressA, EntryA, "entry-a",
+                  {resume_request{{makeTask(1), makeTask(2), makeTask(3)}},
+                   makePlacement(makeTask(1)), makePlacement(makeTask(2)),
+                   makePlacement(makeTask(3))});
+  const std::vector<task_standing> Expected{
+      {.Task = makeTask(2), .Place = task_place::Running}};
+  CHECK_TRUE(Driver.listSent<resume_reply>(New).front().Standing == Expected);
+  for (const task_ended &Each : Driver.listSent<task_ended>(New)) {
+    const bool IsNotStarted =
+        std::holds_alternative<task_not_started>(Each.End);
+    CHECK_EQUAL(Each.Task == makeTask(3), IsNotStarted);
+  }
+  Driver.clear();
+  Driver.feed(run_completed{.Task = makeTask(2), .Output = payload("2")});
+  const auto Ends = Driver.listSent<task_ended>(New);
+  CHECK_EQUAL(1U, Ends.size());
+  CHECK_TRUE(std::holds_alternative<task_completed>(Ends.front().End));
+  CHECK_EQUAL(0U, Driver.countStarts());
+}
