Count the longest lease of orders that reach the next life

Callers would see two runs of one task: an order whose deadline was computed from the clock of a life that is over reaches the endpoint's next life, whose clock begins anew, and holds there for max_hold_ms, 1,000 ms; the supervisor counted 320 ms and a margin and reported the run as ended.

Cause: the adapter kept the clock until any answer brought another one, and answers of orders, which name no life, could bring back that of an earlier life. A start without a known clock was sent without a deadline, so that its run took part in whatever lease there was. The supervisor knew one length of lease only.

The supervisor counts options::LongestLease from its own start, from a change of life and from the first answer to the fence that follows, since until then orders of earlier lives can take effect.

Tests that changed: WithoutAnyListingEarlierRunsEndWithTheirLease took the short lease for that of an earlier companion, which may have ordered with an old clock; it now checks at every step that nothing is reported while the earlier run goes on. Three tests that end runs by their lease now first wait until no order of an earlier life matters; their checks are the same. The tests of refusals list first, so that there is a clock, and one of them now also checks the status.

Not covered: an order that reaches a new life of which no listing has come, and the loss limit of entries.

--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -26,6 +26,10 @@
   /// How long runs go on without a renewal. Short, so that the runs of a
   /// companion that has died end soon; long enough for three renewals.
   duration Lease = std::chrono::milliseconds(320);
+  /// How long a lease lasts at most, whatever an order says. An order that
+  /// reaches the endpoint's next life gets this one: the end that it states is
+  /// far ahead on the new clock. 1,000 ms on a clock that is slow by 2%.
+  duration LongestLease = std::chrono::milliseconds(1'021);
   /// How long one listing waits for an end. After a lost one the next does not
   /// wait, so that several fit into SilenceLimit.
   duration ListWait = std::chrono::milliseconds(100);
@@ -184,6 +188,10 @@
   void rememberUnseen(crashed_task Task);
   static crashed_task makeCrashed(const run_id &Id, const run &Run);
   void settle();
+  /// Orders of earlier lives may have renewed the lease until \p Now.
+  void allowLongestLease(instant Now);
+  /// \returns whether every lease on the endpoint has ended.
+  bool haveLeasesEnded(instant Now) const;
   /// Reports the end of a run that did not complete.
   void endRun(run_map::iterator Place, const std::string &Reason);
   void endAll(const std::string &Reason);
@@ -219,8 +227,11 @@
   bool Listing = false;
   bool ListLost = false; ///< The latest listing had no answer.
   instant ListSentAt;
-  instant ListedAt;      ///< Of the latest answer.
-  instant RenewedAt;     ///< The latest lease was sent.
+  instant ListedAt;  ///< Of the latest answer.
+  instant RenewedAt; ///< The latest lease was sent.
+  /// Until then leases from orders of earlier lives may hold.
+  instant EarlierUntil;
+  bool FenceKnown = false; ///< The endpoint has answered to the present fence.
   bool Withheld = false; ///< The latest listing did not renew, though runs are
                          ///< known.
   bool Settled = false;
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -20,10 +20,12 @@
 } // namespace
 
 supervisor::supervisor(options Options, instant Now)
-    // An earlier life of this companion may have renewed the lease just now.
     : Options(Options),
       Fence(static_cast<std::uint64_t>(Now.time_since_epoch().count())),
-      FenceStep(FirstFenceStep), ListedAt(Now), RenewedAt(Now) {}
+      FenceStep(FirstFenceStep), ListedAt(Now), RenewedAt(Now) {
+  // An earlier life of this companion may have renewed the lease just now.
+  allowLongestLease(Now);
+}
 
 std::vector<step> supervisor::takeSteps() { return std::exchange(Steps, {}); }
 
@@ -147,6 +149,11 @@
   ListLost = false;
   Refuses = false;
   ListedAt = Now;
+  if (!FenceKnown && ListFence == Fence) {
+    // Orders of earlier lives could renew the lease until now.
+    FenceKnown = true;
+    allowLongestLease(Now);
+  }
   Announcements.noteListed(List.Life);
   if (List.Life != Life) {
     changeLife(Now, List.Life);
@@ -182,6 +189,7 @@
 }
 
 void supervisor::raiseFence() {
+  FenceKnown = false;
   Fence += FenceStep;
   FenceStep *= 2;
 }
@@ -357,6 +365,8 @@
   }
   Fence = std::max(Fence + 1,
                    static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+  FenceKnown = false;
+  allowLongestLease(Now);
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
@@ -435,11 +445,20 @@
   }
 }
 
+void supervisor::allowLongestLease(instant Now) {
+  EarlierUntil = Now + Options.LongestLease + Options.LeaseMargin;
+}
+
+bool supervisor::haveLeasesEnded(instant Now) const {
+  return Now >= EarlierUntil &&
+         Now - RenewedAt >= Options.Lease + Options.LeaseMargin;
+}
+
 void supervisor::checkSilence(instant Now) {
   if (Now - ListedAt >= Options.SilenceLimit) {
     fallSilent("it does not list its runs");
   }
-  if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
+  if (!haveLeasesEnded(Now)) {
     return;
   }
   rememberProved();
--- a/tests/runs/supervisor_crash_test.cpp
+++ b/tests/runs/supervisor_crash_test.cpp
@@ -143,7 +143,7 @@
 // Guards against a crash that entries hear of only when the endpoint is back:
 // its tasks have crashed others by then.
 TEST(SupervisorCrashes, ACrashIsToldWhenTheLeasesOfARefusingEndpointHaveEnded) {
-  settle();
+  outliveEarlierLeases();
   start();
   LosesLists = true;
   Failure = list_failure::Refused;
@@ -183,7 +183,7 @@
 }
 
 TEST(SupervisorCrashes, AnEndpointThatHasLeftAndRefusesIsNoCrash) {
-  settle();
+  outliveEarlierLeases();
   start();
   leave();
   LosesLists = true;
--- a/tests/runs/supervisor_fixture.h
+++ b/tests/runs/supervisor_fixture.h
@@ -176,6 +176,12 @@
     live(milliseconds(20));
     CHECK_TRUE(Supervisor.isReady());
   }
+
+  /// Settles, and waits until no order of an earlier life can matter.
+  void outliveEarlierLeases() {
+    settle();
+    live(Options.LongestLease + Options.LeaseMargin);
+  }
 };
 
 } // namespace crocuswood::runs_test
--- a/tests/runs/supervisor_life_test.cpp
+++ b/tests/runs/supervisor_life_test.cpp
@@ -7,7 +7,28 @@
 using namespace crocuswood::runs_test;
 using std::chrono::milliseconds;
 
-TEST_GROUP_BASE(SupervisorLives, supervisor_fixture){};
+namespace {
+
+// An endpoint cuts a longer lease to this, on its own clock.
+constexpr duration LongestHold = milliseconds(1'000);
+// Within this after its end, a run that had the longest lease counts as ended.
+constexpr duration HoldMargin = milliseconds(150);
+
+} // namespace
+
+TEST_GROUP_BASE(SupervisorLives, supervisor_fixture){
+    /// Loses all listings from now on, and waits for the end of the one run.
+    void checkEndIsToldAfterwards(){LosesLists = true;
+CHECK_EQUAL(1U, Runner.getActive().size());
+while (!Runner.getActive().empty()) {
+  CHECK_EQUAL(0U, count<companion::run_stopped>());
+  live(milliseconds(10));
+}
+live(HoldMargin);
+CHECK_EQUAL(1U, count<companion::run_stopped>());
+}
+}
+;
 
 TEST(SupervisorLives, RunsOfAnEarlierLifeAreStoppedFirst) {
   Runner.setRunTime(std::chrono::seconds(30));
@@ -22,11 +43,20 @@
   CHECK_EQUAL(0U, Runner.getActive().size());
 }
 
+// An earlier companion may have ordered with the clock of an earlier life of
+// the endpoint, so its runs may have the longest lease that there is.
 TEST(SupervisorLives, WithoutAnyListingEarlierRunsEndWithTheirLease) {
+  Runner.setRunTime(std::chrono::seconds(30));
+  Runner.pass(Now);
+  Runner.start({.Run = {.Job = "earlier"},
+                .Life = Runner.getLife(),
+                .Lease = LongestHold});
   LosesLists = true;
-  live(Options.Lease);
-  CHECK_EQUAL(0U, count<companion::endpoint_settled>());
-  live(Options.LeaseMargin + Options.ListRetry);
+  while (!Runner.getActive().empty()) {
+    CHECK_EQUAL(0U, count<companion::endpoint_settled>());
+    live(milliseconds(10));
+  }
+  live(HoldMargin);
   CHECK_EQUAL(1U, count<companion::endpoint_settled>());
 }
 
@@ -57,6 +87,38 @@
   CHECK_EQUAL(1U, count<companion::run_completed>());
 }
 
+// The end of the lease that it carries lies far ahead on the endpoint's new
+// clock.
+TEST(SupervisorLives, AStartThatReachesTheNextLifeHasTheLongestLease) {
+  settle();
+  Runner.setChangesId(false);
+  Runner.setRunTime(std::chrono::seconds(30));
+  LosesStarts = true;
+  start();
+  Runner.restart();
+  LostStarts.front().Lease = LongestHold;
+  Runner.start(LostStarts.front());
+  live(milliseconds(20));
+  checkEndIsToldAfterwards();
+}
+
+// Until the endpoint knows the new fence, orders of its earlier life may begin.
+TEST(SupervisorLives, AStartAfterTheFirstListingOfALifeHasTheLongestLease) {
+  settle();
+  Runner.setChangesId(false);
+  Runner.setRunTime(std::chrono::seconds(30));
+  LosesStarts = true;
+  LosesStops = true;
+  start();
+  Runner.restart();
+  answerLists();
+  pass(milliseconds(130));
+  LostStarts.front().Lease = LongestHold;
+  Runner.start(LostStarts.front());
+  answerLists();
+  checkEndIsToldAfterwards();
+}
+
 // Guards against a run of an earlier life of the endpoint that begins after its
 // end was reported.
 TEST(SupervisorLives, AnOrderOfAnEarlierLifeNeverBeginsAfterItsEndWasReported) {
--- a/tests/runs/supervisor_test.cpp
+++ b/tests/runs/supervisor_test.cpp
@@ -109,7 +109,7 @@
 }
 
 TEST(Supervisor, SilenceIsReportedAndRunsEndWithTheirLease) {
-  settle();
+  outliveEarlierLeases();
   Runner.setRunTime(std::chrono::seconds(30));
   start();
   LosesLists = true;
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -19,6 +21,9 @@
 namespace {
 
 constexpr duration Limit = std::chrono::seconds(10);
+constexpr duration Lease = std::chrono::milliseconds(320);
+// Of a runner that has been up for days.
+constexpr std::uint64_t LateClock = 500'000'000;
 
 std::string makeBeat(std::uint64_t Born, std::uint64_t Sequence,
                      std::uint32_t MilliCores) {
@@ -29,6 +34,12 @@
          "}";
 }
 
+std::string makeList(std::uint64_t Born, std::optional<std::uint64_t> Clock) {
+  return R"({"born":)" + std::to_string(Born) +
+         (Clock ? R"(,"clock_ms":)" + std::to_string(*Clock) : "") +
+         R"(,"active":[],"ended_runs":[]})";
+}
+
 } // namespace
 
 TEST_GROUP(RunnerHeartbeats) {
@@ -70,11 +81,36 @@
     runUntil(IsDone);
     return Status;
   }
+  /// Lists the runs, as the life \p Born whose clock shows \p Clock.
+  list_outcome list(std::uint64_t Born, std::optional<std::uint64_t> Clock,
+                    const list_request &Request = {}) {
+    const unsigned Status = std::exchange(OrderStatus, 200);
+    const std::string Body = std::exchange(ListBody, makeList(Born, Clock));
+    bool IsDone = false;
+    list_outcome Taken;
+    Runner->list(Request, [&](const list_outcome &List) {
+      Taken = List;
+      IsDone = true;
+    });
+    runUntil(IsDone);
+    OrderStatus = Status;
+    ListBody = Body;
+    return Taken;
+  }
+  /// \returns the end of the lease in the latest order, on the runner's clock.
+  std::optional<std::uint64_t> findDeadline() const {
+    constexpr std::string_view Member = "\"deadline_ms\":";
+    const std::size_t Place = LastOrder.find(Member);
+    if (Place == std::string::npos) {
+      return std::nullopt;
+    }
+    return std::stoull(LastOrder.substr(Place + Member.size()));
+  }
   /// Starts a run. \returns how the order ended.
   order_outcome start() {
     order_outcome Taken;
     bool IsDone = false;
-    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"}},
+    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"}, .Lease = Lease},
                   [&](const order_outcome &Outcome) {
                     Taken = Outcome;
                     IsDone = true;
@@ -87,10 +123,14 @@
   boost::asio::io_context Context;
   std::string ListBody; ///< Of the answers to all orders.
   unsigned OrderStatus = 200;
+  unsigned Calls = 0;    ///< Orders and listings that have arrived.
+  std::string LastOrder; ///< Body of the latest one.
   http::plain_server Orders{Context,
                             {},
-                            [this](const http::plain_request & /*Request*/,
+                            [this](const http::plain_request &Request,
                                    const http::plain_server::respond &Respond) {
+                              ++Calls;
+                              LastOrder = Request.Body;
                               Respond(
                                   {.Status = OrderStatus, .Body = ListBody});
                             }};
@@ -124,6 +164,7 @@
 // or printing it overflows the stack and ends the companion.
 TEST(RunnerHeartbeats, ADeepReasonOfARefusalIsLeftOut) {
   constexpr std::size_t Levels = 200'000;
+  list(7, LateClock);
   OrderStatus = 409;
   ListBody = R"({"clock_ms":1,"reason":)" + std::string(Levels, '[') +
              std::string(Levels, ']') + "}";
@@ -133,9 +174,12 @@
 }
 
 TEST(RunnerHeartbeats, ALongReasonOfARefusalIsCut) {
+  list(7, LateClock);
   OrderStatus = 409;
   ListBody = R"({"clock_ms":1,"reason":")" + std::string(100'000, 'x') + "\"}";
-  CHECK_TRUE(start().Reason.size() < 1'000);
+  const order_outcome Outcome = start();
+  CHECK_TRUE(order_status::Refused == Outcome.Status);
+  CHECK_TRUE(Outcome.Reason.size() < 1'000);
 }
 
 // Without it a companion would wait for ever for a runner that has seen a
@@ -152,3 +196,36 @@
   runUntil(IsDone);
   CHECK_TRUE(list_outcome(list_failure::Fenced) == Taken);
 }
+
+// Without a lease of its own, a run would go on for as long as those that are
+// renewed, or for the longest lease.
+TEST(RunnerHeartbeats, AStartWithoutAKnownClockIsNotSent) {
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  CHECK_EQUAL(0U, Calls);
+}
+
+TEST(RunnerHeartbeats, TheClockOfAnEarlierLifeIsForgotten) {
+  list(7, LateClock);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= LateClock);
+  list(8, std::nullopt);
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  list(8, std::nullopt, {.Lease = Lease});
+  CHECK_FALSE(findDeadline().has_value());
+}
+
+TEST(RunnerHeartbeats, TheClockOfALaterLifeReplacesTheEarlierOne) {
+  list(7, LateClock);
+  list(8, 100);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= 100 && findDeadline() < LateClock);
+}
+
+// The answer may be late, and names no life.
+TEST(RunnerHeartbeats, TheAnswerOfAnOrderSetsNoClock) {
+  list(8, 100);
+  ListBody = R"({"clock_ms":)" + std::to_string(LateClock) + "}";
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= 100 && findDeadline() < LateClock);
+}
