Count a lease at the endpoint from its decision

Callers would see two runs of one task after a process had been paused at the wrong place: the supervisor counts a lease from its decision, and the adapter computed the deadline from the time when it wrote the order, so that a frozen or throttled companion lengthened the lease at the endpoint by its pause.

Change: start_order and list_request carry DecidedAt, on the clock of the process, which counts suspended time. The adapter takes what has passed since then off the lease. A start whose lease has passed is not sent, and a listing renews nothing then.

Not run with the programs.

--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -177,7 +177,8 @@
   /// Name under which that life has announced itself. An endpoint of another
   /// name refuses; a later life under the same name does not.
   std::string Instance;
-  duration Lease{}; ///< For everything on the endpoint, from the sending on.
+  duration Lease{};  ///< For everything on the endpoint, from DecidedAt on.
+  instant DecidedAt; ///< On the clock_port of the process.
   /// An endpoint refuses orders whose number is smaller than one that it has
   /// seen in its life.
   std::uint64_t Fence = 0;
@@ -210,7 +211,8 @@
 /// Asks for the runs of an endpoint, and may renew the lease of all of them.
 struct list_request {
   std::uint64_t Acknowledged = 0; ///< Ends up to this number may be forgotten.
-  std::optional<duration> Lease;  ///< From the sending on; nothing renews none.
+  std::optional<duration> Lease;  ///< From DecidedAt on; nothing renews none.
+  instant DecidedAt;              ///< As in start_order.
   duration Wait{}; ///< The endpoint answers by then, or at the next end.
   std::uint64_t Fence = 0; ///< As in start_order.
 
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -64,6 +64,7 @@
                                           .Life = Life,
                                           .Instance = Endpoint->Name,
                                           .Lease = Options.Lease,
+                                          .DecidedAt = Now,
                                           .Fence = Fence}});
 }
 
@@ -486,6 +487,7 @@
   ListSentAt = Now;
   // After a lost listing the next life may answer, whose ends begin anew.
   list_request Request{.Acknowledged = ListLost ? 0 : Acknowledged,
+                       .DecidedAt = Now,
                        .Wait = ListLost || Life.empty() ? duration::zero()
                                                         : Options.ListWait,
                        .Fence = Fence};
--- a/programs/crocuswoodd/leased_endpoint_duty.cpp
+++ b/programs/crocuswoodd/leased_endpoint_duty.cpp
@@ -33,7 +33,7 @@
       Retry(Duty.getContext(), [this] { return this->ToDecisions.flush(); }),
       Supervisor(Options, Clock.now()),
       Runner(
-          Duty.getContext(), Orders,
+          Duty.getContext(), Clock, Orders,
           [this](companion::endpoint_announcement Announcement) {
             Supervisor.takeAnnouncement(std::move(Announcement));
             carryOut();
--- a/tests/runs/supervisor_test.cpp
+++ b/tests/runs/supervisor_test.cpp
@@ -25,6 +25,18 @@
   CHECK_EQUAL(1U, count<companion::run_completed>());
 }
 
+// A pause before an order is sent must not lengthen the lease at the endpoint.
+TEST(Supervisor, OrdersCarryTheInstantFromWhichTheirLeaseCounts) {
+  settle();
+  pass(milliseconds(7));
+  Supervisor.start(Now, {.Task = makeTask(), .RunName = "job", .Attempt = 1});
+  const auto Steps = Supervisor.takeSteps();
+  CHECK_TRUE(std::get<runs::send_start>(Steps.back()).Order.DecidedAt == Now);
+  answerLists();
+  CHECK_TRUE(AllAsked.back().Lease.has_value());
+  CHECK_TRUE(AllAsked.back().DecidedAt == Now);
+}
+
 TEST(Supervisor, AStopEndsTheRunOnce) {
   settle();
   start();
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -22,6 +22,8 @@
 
 constexpr duration Limit = std::chrono::seconds(10);
 constexpr duration Lease = std::chrono::milliseconds(320);
+constexpr duration LongPause = std::chrono::milliseconds(200);
+constexpr std::uint64_t LeaseAfterPause = 120; ///< Milliseconds.
 // Of a runner that has been up for days.
 constexpr std::uint64_t LateClock = 500'000'000;
 
@@ -40,13 +42,20 @@
          R"(,"active":[],"ended_runs":[]})";
 }
 
+// Stands still unless it is set.
+struct set_clock : public clock_port {
+  instant now() const override { return Now; }
+  std::int64_t wallMicroseconds() const override { return 0; }
+  instant Now{std::chrono::hours(1)};
+};
+
 } // namespace
 
 TEST_GROUP(RunnerHeartbeats) {
   void setup() override {
     const auto Lists = Orders.listen({.Host = "127.0.0.1"});
     Runner = std::make_unique<runner>(
-        Context,
+        Context, Clock,
         peer_address{.Host = "127.0.0.1",
                      .Port = std::get<std::uint16_t>(Lists)},
         [this](const companion::endpoint_announcement &Announcement) {
@@ -81,14 +90,16 @@
     runUntil(IsDone);
     return Status;
   }
-  /// Lists the runs, as the life \p Born whose clock shows \p Clock.
-  list_outcome list(std::uint64_t Born, std::optional<std::uint64_t> Clock,
+  /// Lists the runs, as the life \p Born whose clock shows \p Shown.
+  list_outcome list(std::uint64_t Born, std::optional<std::uint64_t> Shown,
                     const list_request &Request = {}) {
+    list_request Decided = Request;
+    Decided.DecidedAt = Clock.Now - Pause;
     const unsigned Status = std::exchange(OrderStatus, 200);
-    const std::string Body = std::exchange(ListBody, makeList(Born, Clock));
+    const std::string Body = std::exchange(ListBody, makeList(Born, Shown));
     bool IsDone = false;
     list_outcome Taken;
-    Runner->list(Request, [&](const list_outcome &List) {
+    Runner->list(Decided, [&](const list_outcome &List) {
       Taken = List;
       IsDone = true;
     });
@@ -97,6 +108,13 @@
     ListBody = Body;
     return Taken;
   }
+  /// \returns the milliseconds since the beginning of the test.
+  std::uint64_t getAge() const {
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - Begin)
+            .count());
+  }
   /// \returns the end of the lease in the latest order, on the runner's clock.
   std::optional<std::uint64_t> findDeadline() const {
     constexpr std::string_view Member = "\"deadline_ms\":";
@@ -110,7 +128,9 @@
   order_outcome start() {
     order_outcome Taken;
     bool IsDone = false;
-    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"}, .Lease = Lease},
+    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"},
+                   .Lease = Lease,
+                   .DecidedAt = Clock.Now - Pause},
                   [&](const order_outcome &Outcome) {
                     Taken = Outcome;
                     IsDone = true;
@@ -120,8 +140,12 @@
   }
   std::uint32_t getCores() const { return Announced.back().Offer.MilliCores; }
 
+  const std::chrono::steady_clock::time_point Begin =
+      std::chrono::steady_clock::now();
   boost::asio::io_context Context;
+  set_clock Clock;
   std::string ListBody; ///< Of the answers to all orders.
+  duration Pause{};     ///< Between a decision and its order.
   unsigned OrderStatus = 200;
   unsigned Calls = 0;    ///< Orders and listings that have arrived.
   std::string LastOrder; ///< Body of the latest one.
@@ -229,3 +253,36 @@
   CHECK_TRUE(order_status::Done == start().Status);
   CHECK_TRUE(findDeadline() >= 100 && findDeadline() < LateClock);
 }
+
+// The supervisor counts a lease from its decision. The process may have been
+// paused, or its VM suspended, before the order is written.
+TEST(RunnerHeartbeats, APauseBeforeAStartShortensItsLease) {
+  Pause = LongPause;
+  list(7, LateClock);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= LateClock + LeaseAfterPause);
+  CHECK_TRUE(findDeadline() <= LateClock + LeaseAfterPause + getAge());
+}
+
+TEST(RunnerHeartbeats, APauseBeforeARenewalShortensIt) {
+  Pause = LongPause;
+  list(7, LateClock);
+  list(7, LateClock, {.Lease = Lease});
+  CHECK_TRUE(findDeadline() >= LateClock + LeaseAfterPause);
+  CHECK_TRUE(findDeadline() <= LateClock + LeaseAfterPause + getAge());
+}
+
+TEST(RunnerHeartbeats, AStartWhoseLeaseHasPassedIsNotSent) {
+  list(7, LateClock);
+  Calls = 0;
+  Pause = Lease;
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  CHECK_EQUAL(0U, Calls);
+}
+
+TEST(RunnerHeartbeats, AListingAfterItsLeaseHasPassedRenewsNothing) {
+  list(7, LateClock);
+  Pause = Lease;
+  list(7, LateClock, {.Lease = Lease});
+  CHECK_FALSE(findDeadline().has_value());
+}
