Start nothing where a stop has had no effect

Callers would see a task go on that should have ended: while a stop has had no effect for StopLimit, the endpoint's lease is withheld, which ends the run for certain. Each start of another task renewed the lease of everything on the endpoint, so that a busy endpoint kept the run for as long as starts came, and the time within which a companion ends its runs (makeLossLimit) did not hold.

Cause: supervisor::start renewed without asking what sendList asks.

Failed before: supervisor_test.cpp: AStopWithoutEffectCostsTheLeaseWhileOthersAreToStart: expected <1> but was <0> (run_stopped, with a start each 20 ms, after StopLimit, Lease and LeaseMargin).

Change: such a start is refused with the reason, so that its entry may place the task elsewhere. The endpoint takes starts again once the run has ended.

--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -198,6 +198,8 @@
   void checkSilence(instant Now);
   void sendList(instant Now);
   bool mayRenew(instant Now) const;
+  /// \returns whether a run has gone on for StopLimit since its first stop.
+  bool resistsStop(instant Now) const;
   /// Tells the core when renewals end.
   void noteWithheld(bool Is);
   template <class Event> void tell(Event Value) {
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -52,6 +52,12 @@
                                 .Reason = "this run goes on already"});
     return;
   }
+  if (resistsStop(Now)) {
+    // A start renews the lease of everything on the endpoint.
+    tell(companion::run_refused{.Task = Start.Task,
+                                .Reason = "a stop has had no effect"});
+    return;
+  }
   Runs.emplace(Id, run{.Task = Start.Task,
                        .Class = std::move(Start.Class),
                        .Crashes = Start.Crashes,
@@ -473,10 +479,11 @@
 bool supervisor::mayRenew(instant Now) const {
   // A renewal may arrive although no answer comes, so a silent endpoint gets
   // none: its runs then end for certain.
-  if (Runs.empty() || Silent) {
-    return false;
-  }
-  return std::ranges::none_of(Runs, [&](const auto &Item) {
+  return !Runs.empty() && !Silent && !resistsStop(Now);
+}
+
+bool supervisor::resistsStop(instant Now) const {
+  return std::ranges::any_of(Runs, [&](const auto &Item) {
     const run &Run = Item.second;
     return Run.StopAskedAt && Now - *Run.StopAskedAt >= Options.StopLimit;
   });
--- a/tests/runs/supervisor_test.cpp
+++ b/tests/runs/supervisor_test.cpp
@@ -120,6 +120,29 @@
   CHECK_EQUAL(0U, Runner.getActive().size());
 }
 
+// Guards against starts of other tasks that keep alive what can't be stopped.
+TEST(Supervisor, AStopWithoutEffectCostsTheLeaseWhileOthersAreToStart) {
+  outliveEarlierLeases();
+  Runner.setRunTime(std::chrono::seconds(30));
+  start();
+  LosesStops = true;
+  stop();
+  live(Options.StopLimit);
+  const instant End = Now + Options.Lease + Options.LeaseMargin;
+  for (std::uint32_t Index = 1; Now < End; ++Index) {
+    start(Index);
+    live(milliseconds(20));
+  }
+  CHECK_EQUAL(1U, count<companion::run_stopped>());
+  CHECK_FALSE(Runner.getActive().contains({.Job = "job", .Attempt = 1}));
+  // The endpoint takes runs again.
+  LosesStops = false;
+  const std::size_t Refused = count<companion::run_refused>();
+  CHECK_TRUE(Refused > 0);
+  start(1'000);
+  CHECK_EQUAL(Refused, count<companion::run_refused>());
+}
+
 TEST(Supervisor, SilenceIsReportedAndRunsEndWithTheirLease) {
   outliveEarlierLeases();
   Runner.setRunTime(std::chrono::seconds(30));
