Let the explorer announce other endpoints and lives, and deliver late

What callers would see: tasks that run twice. The search of all schedules of two faults missed it, since nobody but the endpoint announced anything in its model, and always in time. Change: where a heartbeat or an answer of the endpoint is taken, another endpoint may announce itself, or the endpoint's name with a life that it never had; a heartbeat comes 150, 500 or 2,000 ms late, or once more, also in the next life of its sender. `endpoint` leaves only these faults and crashes, so that pairs are searched in seconds.

--- a/tests/explorer/explorer_test.cpp
+++ b/tests/explorer/explorer_test.cpp
@@ -2,9 +2,11 @@
 // exceeded, a false refusal, a job without an answer or failed without cause.
 #include "search.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -49,6 +51,37 @@
   return play(Scenario, parseSchedule(Case.Schedule).value());
 }
 
+/// A schedule with an announcement, and its last fault in words.
+struct announcement_case {
+  const char *Scenario;
+  const char *Schedule;
+  const char *Last;
+};
+
+/// Follows a schedule, and notes which faults happened.
+class told_faults : public fault_source {
+public:
+  explicit told_faults(schedule Schedule) : Schedule(std::move(Schedule)) {}
+
+  std::optional<std::size_t>
+  choose(std::uint32_t Step, const std::vector<fault> &Offered) override {
+    for (const injection &Each : Schedule) {
+      if (Each.Step == Step && Each.Choice < Offered.size()) {
+        Told.push_back(Offered[Each.Choice]);
+        return Each.Choice;
+      }
+    }
+    return std::nullopt;
+  }
+  bool reach(std::uint64_t /*State*/) override { return true; }
+
+  const std::vector<fault> &getTold() const { return Told; }
+
+private:
+  schedule Schedule;
+  std::vector<fault> Told;
+};
+
 } // namespace
 
 TEST_GROUP(Explorer){};
@@ -115,6 +148,61 @@
   }
 }
 
+TEST_GROUP(ExplorerAnnouncements){};
+
+// Guards against an announcement that is taken for a restart of the endpoint,
+// so that its runs begin elsewhere while they go on: of another endpoint, of a
+// life that it never had, or late, of an earlier life. Each of these schedules
+// made two runs of a task when announcements changed the life.
+TEST(ExplorerAnnouncements, NoneIsTakenForARestart) {
+  const std::vector<announcement_case> Cases{
+      {"one-task", "13:6", "announce other"},
+      {"one-task", "13:7", "announce life"},
+      {"two-jobs", "2:6,6:8", "repeat heartbeat 150 ms"},
+      {"two-jobs", "2:6,7:8", "repeat heartbeat 150 ms"}};
+  for (const announcement_case &Case : Cases) {
+    const scenario Scenario = findScenario(Case.Scenario).value();
+    const schedule Schedule = parseSchedule(Case.Schedule).value();
+    told_faults Faults(Schedule);
+    fleet Fleet(Scenario, Faults);
+    Fleet.run();
+    // Else the schedule no longer plays what it is kept for.
+    CHECK_EQUAL(Schedule.size(), Faults.getTold().size());
+    STRCMP_EQUAL(Case.Last, toString(Faults.getTold().back()).c_str());
+    for (const std::string &Each : Fleet.getViolations()) {
+      FAIL((Each + "\n" + Fleet.getStory()).c_str());
+    }
+  }
+}
+
+// Guards against the same, and a heartbeat that is late, together with a crash
+// of the endpoint before or after it.
+TEST(ExplorerAnnouncements, NoneBreaksAPromiseBesideAnotherOrACrash) {
+  constexpr std::size_t Shards = 4; // To bound the time of the test.
+  const scenario Scenario = findScenario("one-task").value();
+  exhaustive_search Search(Scenario, 0, Shards);
+  Search.setOnly(isOfEndpoint);
+  Search.run(2);
+  for (const counterexample &Each : Search.getFound()) {
+    FAIL(describe(Scenario, Each).c_str());
+  }
+  // Else the search would show nothing.
+  CHECK_TRUE(Search.countRuns() > 1'000);
+}
+
+TEST_GROUP(ExplorerRestarts){};
+
+// Guards against a crash that is counted for a task that began after it, in
+// the next life of the endpoint, before the companion knew of that life.
+TEST(ExplorerRestarts, ACrashIsNotCountedForWhatBeginsAfterIt) {
+  const scenario Scenario = findScenario("two-jobs").value();
+  for (const char *Schedule : {"2:6,28:3", "2:6,28:4", "2:6,31:6"}) {
+    if (const auto Found = play(Scenario, parseSchedule(Schedule).value())) {
+      FAIL(describe(Scenario, *Found).c_str());
+    }
+  }
+}
+
 TEST_GROUP(ExplorerLateOrders){};
 
 // Guards against an order without an answer that the next life of the endpoint
--- a/tests/explorer/lib/companion_node.cpp
+++ b/tests/explorer/lib/companion_node.cpp
@@ -1,6 +1,7 @@
 #include "companion_node.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocuswood::explorer {
@@ -33,6 +34,28 @@
           {fault_kind::CrashEndpoint, milliseconds(500)}};
 }
 
+std::vector<fault> announcementFaults() {
+  return {{fault_kind::AnnounceOther}, {fault_kind::AnnounceLife}};
+}
+
+std::vector<fault> heartbeatFaults() {
+  std::vector<fault> Faults = announcementFaults();
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(150)});
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(500)});
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(2'000)});
+  return Faults;
+}
+
+/// Faults where an answer of the endpoint is taken.
+std::vector<fault> answerFaults() {
+  std::vector<fault> Faults = processFaults();
+  std::ranges::copy(announcementFaults(), std::back_inserter(Faults));
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(150)});
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(500)});
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(2'000)});
+  return Faults;
+}
+
 } // namespace
 
 companion_node::companion_node(world &World, std::string Name,
@@ -42,9 +65,10 @@
     : linked_node(World, std::move(Name)), Options(std::move(Options)),
       RunOptions(RunOptions), Network(Network), Endpoint(Beside) {
   Beside.Announce = [this](const std::string &Life) {
-    takeAfter(
-        Latency, "heartbeat", mix(Endpoint.labelOutput(), "beat"), {},
-        [this, Life, SentAt = getNow()] { takeAnnouncement(Life, SentAt); });
+    LatestBeat = {.Name = Endpoint.getName(), .Life = Life, .SentAt = getNow()};
+    takeAfter(Latency, "heartbeat", mix(Endpoint.labelOutput(), "beat"),
+              heartbeatFaults(),
+              [this, Beat = LatestBeat] { takeAnnouncement(Beat); });
   };
 }
 
@@ -62,6 +86,47 @@
 
 void companion_node::requestStop() { handle(companion::stop_requested{}); }
 
+bool companion_node::suffer(const fault &Fault) {
+  const heartbeat Foreign{
+      .Name = "stranger", .Life = "life of a stranger", .SentAt = getNow()};
+  const heartbeat Unknown{.Name = Endpoint.getName(),
+                          .Life = "life that never was",
+                          .SentAt = getNow()};
+  switch (Fault.Kind) {
+  case fault_kind::AnnounceOther:
+    take(mix(getLife(), "other"),
+         [this, Foreign] { takeAnnouncement(Foreign); });
+    return true;
+  case fault_kind::AnnounceLife:
+    take(mix(getLife(), "life"),
+         [this, Unknown] { takeAnnouncement(Unknown); });
+    return true;
+  case fault_kind::DelayHeartbeat:
+    takeLate(LatestBeat, Fault.Span);
+    return false;
+  case fault_kind::RepeatHeartbeat:
+    takeLate(LatestBeat, Fault.Span);
+    return true;
+  default:
+    return node::suffer(Fault);
+  }
+}
+
+void companion_node::takeLate(const heartbeat &Heartbeat, duration Span) {
+  const std::uint64_t Label =
+      mix(mix(static_cast<std::uint64_t>(
+                  Heartbeat.SentAt.time_since_epoch().count()),
+              Heartbeat.Life),
+          "late beat");
+  World.after(Span, {.What = "late heartbeat",
+                     .Who = getName(),
+                     .Label = mix(Label, getName()),
+                     .Run = [this, Label, Heartbeat] {
+                       take(Label,
+                            [this, Heartbeat] { takeAnnouncement(Heartbeat); });
+                     }});
+}
+
 void companion_node::linkOpened(link_id Link) {
   handle(companion::link_opened{Link});
 }
@@ -128,17 +193,18 @@
       "timer", mix(getLife(), "supervisor"), {}, [this] { tick(); });
 }
 
-void companion_node::takeAnnouncement(const std::string &Life, instant SentAt) {
-  Supervisor->takeAnnouncement({.Name = Endpoint.getName(),
-                                .Life = Life,
-                                .Address = {.Host = "127.0.0.1", .Port = 9000},
-                                .Offer = {.State = endpoint_state::Serving,
-                                          .Classes = {"pool"},
-                                          .Slots = 8,
-                                          .MemoryBytes = 1ULL << 30U,
-                                          .MilliCores = EndpointMilliCores},
-                                .Sequence = static_cast<std::uint64_t>(
-                                    SentAt.time_since_epoch().count())});
+void companion_node::takeAnnouncement(const heartbeat &Heartbeat) {
+  Supervisor->takeAnnouncement(
+      {.Name = Heartbeat.Name,
+       .Life = Heartbeat.Life,
+       .Address = {.Host = "127.0.0.1", .Port = 9000},
+       .Offer = {.State = endpoint_state::Serving,
+                 .Classes = {"pool"},
+                 .Slots = 8,
+                 .MemoryBytes = 1ULL << 30U,
+                 .MilliCores = EndpointMilliCores},
+       .Sequence = static_cast<std::uint64_t>(
+           Heartbeat.SentAt.time_since_epoch().count())});
   carryOut();
 }
 
@@ -213,7 +279,7 @@
       return;
     }
     takeAfter(
-        Latency, "answer", Endpoint.labelOutput(), processFaults(),
+        Latency, "answer", Endpoint.labelOutput(), answerFaults(),
         [this, Call, Run, IsStart, Outcome] {
           Call->Answered = true;
           takeOutcome(Run, IsStart, Outcome);
@@ -284,7 +350,7 @@
       return;
     }
     takeAfter(
-        Latency, "listing", Endpoint.labelOutput(), processFaults(),
+        Latency, "listing", Endpoint.labelOutput(), answerFaults(),
         [Take, Outcome] { Take(Outcome); }, [Call] { return !Call->Answered; });
   };
   sendOrder(
--- a/tests/explorer/lib/companion_node.h
+++ b/tests/explorer/lib/companion_node.h
@@ -26,6 +26,7 @@
   /// Late orders are carried out by the next life of the endpoint, too.
   void setOrdersOutlive(bool Value) { OrdersOutlive = Value; }
   void requestStop() override;
+  bool suffer(const fault &Fault) override;
   void linkOpened(link_id Link) override;
   void linkClosed(link_id Link) override;
   void received(link_id Link, std::vector<peer_message> Messages) override;
@@ -37,6 +38,13 @@
   void end() override;
 
 private:
+  /// What somebody sends who announces an endpoint.
+  struct heartbeat {
+    std::string Name;
+    std::string Life;
+    instant SentAt;
+  };
+
   /// An order without an answer so far.
   struct call {
     bool Answered = false;
@@ -44,7 +52,9 @@
 
   void handle(companion::event Event);
   void apply(companion::action &Action);
-  void takeAnnouncement(const std::string &Life, instant SentAt);
+  void takeAnnouncement(const heartbeat &Heartbeat);
+  /// Lets \p Heartbeat arrive after \p Span, whatever becomes of its sender.
+  void takeLate(const heartbeat &Heartbeat, duration Span);
   void tick();
   void carryOut();
   void carryOut(runs::step Step);
@@ -68,6 +78,7 @@
   endpoint_node &Endpoint;
   std::unique_ptr<companion::core> Core;
   std::optional<runs::supervisor> Supervisor;
+  heartbeat LatestBeat; ///< As sent by the endpoint.
   bool OrdersOutlive = false;
 };
 
--- a/tests/explorer/lib/fault.cpp
+++ b/tests/explorer/lib/fault.cpp
@@ -8,11 +8,12 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> Names{
-    "reset link",   "silence link",   "silence one way", "delay link",
-    "kill process", "freeze process", "stop process",    "lose answer",
-    "execute late", "lose order",     "refuse order",    "crash endpoint",
-    "break caller"};
+constexpr std::array<std::string_view, 17> Names{
+    "reset link",      "silence link",   "silence one way", "delay link",
+    "kill process",    "freeze process", "stop process",    "lose answer",
+    "execute late",    "lose order",     "refuse order",    "crash endpoint",
+    "break caller",    "announce other", "announce life",   "delay heartbeat",
+    "repeat heartbeat"};
 
 bool parseNumber(std::string_view &Text, std::uint32_t &Number) {
   const auto [Rest, Error] =
@@ -31,6 +32,14 @@
 
 } // namespace
 
+bool isOfEndpoint(fault_kind Kind) {
+  return Kind == fault_kind::CrashEndpoint ||
+         Kind == fault_kind::AnnounceOther ||
+         Kind == fault_kind::AnnounceLife ||
+         Kind == fault_kind::DelayHeartbeat ||
+         Kind == fault_kind::RepeatHeartbeat;
+}
+
 std::string toString(const fault &Fault) {
   std::string Text(Names.at(static_cast<std::size_t>(Fault.Kind)));
   if (Fault.Span > duration::zero()) {
--- a/tests/explorer/lib/fault.h
+++ b/tests/explorer/lib/fault.h
@@ -27,8 +27,15 @@
   RefuseOrder,   ///< The connection is refused.
   CrashEndpoint, ///< The endpoint is back after the span with nothing running.
   BreakCaller,   ///< The caller's connection breaks; it sends the job again.
+  AnnounceOther, ///< Another endpoint announces itself to the companion.
+  AnnounceLife, ///< The same under the endpoint's name, of a life it never had.
+  DelayHeartbeat, ///< This heartbeat comes later, also after its sender's life.
+  RepeatHeartbeat, ///< The latest heartbeat comes once more after the span.
 };
 
+/// The faults of a lone endpoint and of what is announced in its name.
+bool isOfEndpoint(fault_kind Kind);
+
 struct fault {
   fault_kind Kind = fault_kind::ResetLink;
   duration Span{};
--- a/tests/explorer/lib/network.cpp
+++ b/tests/explorer/lib/network.cpp
@@ -146,8 +146,7 @@
     Receiver.HeldUntil = World.getNow() + Fault.Span;
     return true;
   default:
-    Receiver.Owner->suffer(Fault);
-    return true;
+    return Receiver.Owner->suffer(Fault);
   }
 }
 
--- a/tests/explorer/lib/node.cpp
+++ b/tests/explorer/lib/node.cpp
@@ -76,7 +76,7 @@
                      }});
 }
 
-void node::suffer(const fault &Fault) {
+bool node::suffer(const fault &Fault) {
   if (Fault.Kind == fault_kind::KillProcess) {
     kill(Fault.Span);
   } else if (Fault.Kind == fault_kind::FreezeProcess) {
@@ -84,6 +84,7 @@
   } else if (Fault.Kind == fault_kind::StopProcess) {
     take(mix(Life, "stop"), [this] { requestStop(); });
   }
+  return true;
 }
 
 void node::take(std::uint64_t Label, std::function<void()> Work) {
@@ -103,21 +104,18 @@
 void node::takeAfter(duration Span, std::string_view What, std::uint64_t Label,
                      std::vector<fault> Offered, std::function<void()> Work,
                      std::function<bool()> IsValid) {
-  World.after(Span, {.What = What,
-                     .Who = Name,
-                     .Label = mix(Label, Name),
-                     .Offered = std::move(Offered),
-                     .Run = [this, Label,
-                             Work = std::move(Work)] { take(Label, Work); },
-                     .Suffer =
-                         [this](const fault &Fault) {
-                           suffer(Fault);
-                           return true;
-                         },
-                     .IsValid =
-                         [this, Born = Life, Valid = std::move(IsValid)] {
-                           return Alive && Life == Born && (!Valid || Valid());
-                         }});
+  World.after(
+      Span,
+      {.What = What,
+       .Who = Name,
+       .Label = mix(Label, Name),
+       .Offered = std::move(Offered),
+       .Run = [this, Label, Work = std::move(Work)] { take(Label, Work); },
+       .Suffer = [this](const fault &Fault) { return suffer(Fault); },
+       .IsValid =
+           [this, Born = Life, Valid = std::move(IsValid)] {
+             return Alive && Life == Born && (!Valid || Valid());
+           }});
 }
 
 void node::wakeAt(instant At, std::function<void()> Work) {
--- a/tests/explorer/lib/node.h
+++ b/tests/explorer/lib/node.h
@@ -32,8 +32,9 @@
   /// Ends the life at once. It is started anew after \p Pause.
   void kill(duration Pause);
   void freeze(duration Span);
-  /// Carries out a fault of processFaults().
-  void suffer(const fault &Fault);
+  /// Carries out a fault of processFaults(), and those that are of this node
+  /// alone. \returns whether what was about to be taken still is.
+  virtual bool suffer(const fault &Fault);
   virtual void requestStop() {}
 
   /// Takes an input: now, after a freeze, or never if the process has died.
--- a/tests/explorer/lib/search.cpp
+++ b/tests/explorer/lib/search.cpp
@@ -10,7 +10,7 @@
 /// Faults offered at a step.
 struct offer {
   std::uint32_t Step = 0;
-  std::uint32_t Count = 0;
+  std::vector<fault> Faults;
 };
 
 /// Follows a schedule, and notes what could happen after its last fault.
@@ -30,8 +30,7 @@
       ++Next;
       return Due.Choice;
     }
-    Offers.push_back(
-        {.Step = Step, .Count = static_cast<std::uint32_t>(Offered.size())});
+    Offers.push_back({.Step = Step, .Faults = Offered});
     return std::nullopt;
   }
 
@@ -124,7 +123,10 @@
   }
   std::size_t Number = 0;
   for (const offer &Offer : Faults.getOffers()) {
-    for (std::uint32_t Choice = 0; Choice < Offer.Count; ++Choice) {
+    for (std::uint32_t Choice = 0; Choice < Offer.Faults.size(); ++Choice) {
+      if (Only != nullptr && !Only(Offer.Faults[Choice].Kind)) {
+        continue;
+      }
       const bool IsMine = !Prefix.empty() || Number++ % Shards == Shard;
       if (!IsMine) {
         continue;
--- a/tests/explorer/lib/search.h
+++ b/tests/explorer/lib/search.h
@@ -35,6 +35,9 @@
                              std::size_t Shards = 1)
       : Scenario(Scenario), Shard(Shard), Shards(Shards) {}
 
+  /// Plays no faults but those of this kind.
+  void setOnly(bool (*Value)(fault_kind)) { Only = Value; }
+
   /// Stops after \p MaxFound counterexamples.
   void run(unsigned Faults, std::size_t MaxFound = 1);
 
@@ -49,6 +52,7 @@
   const scenario &Scenario;
   std::size_t Shard;
   std::size_t Shards;
+  bool (*Only)(fault_kind) = nullptr;
   std::size_t MaxFound = 1;
   std::unordered_set<std::uint64_t> Visited;
   std::vector<counterexample> Found;
--- a/tests/explorer/program/explore_runs.cpp
+++ b/tests/explorer/program/explore_runs.cpp
@@ -23,6 +23,9 @@
     "  faults: plays every schedule of up to COUNT faults\n"
     "  random: plays COUNT random schedules of up to FAULTS faults\n"
     "  play:   plays one schedule, as it was printed\n"
+    "A word `endpoint` at the end leaves no faults but crashes of endpoints "
+    "and\n"
+    "what is announced in their name.\n"
     "A word `outlive` at the end lets the next life of an endpoint carry out\n"
     "late orders of the one before.\n";
 
@@ -65,11 +68,15 @@
   }
 }
 
-int searchAll(const scenario &Scenario, unsigned Faults, std::size_t Threads) {
+int searchAll(const scenario &Scenario, unsigned Faults, std::size_t Threads,
+              bool OnlyEndpoint) {
   constexpr std::size_t MaxFound = 3;
   report Report;
   runThreads(Threads, [&](std::size_t Shard) {
     exhaustive_search Search(Scenario, Shard, Threads);
+    if (OnlyEndpoint) {
+      Search.setOnly(isOfEndpoint);
+    }
     Search.run(Faults, MaxFound);
     Report.addRuns(Search.countRuns(), Search.countCuts());
     for (const counterexample &Each : Search.getFound()) {
@@ -118,6 +125,7 @@
 
 int run(scenario Scenario, std::vector<std::string> Words) {
   Scenario.OrdersOutlive = std::erase(Words, "outlive") > 0;
+  const bool OnlyEndpoint = std::erase(Words, "endpoint") > 0;
   const auto Without = std::ranges::find(Words, "without");
   if (Without != Words.end() && std::next(Without) != Words.end()) {
     for (const guard Each : listGuards()) {
@@ -129,7 +137,7 @@
   }
   if (Words[0] == "faults") {
     return searchAll(Scenario, static_cast<unsigned>(numberAt(Words, 1, 1)),
-                     numberAt(Words, 2, 1));
+                     numberAt(Words, 2, 1), OnlyEndpoint);
   }
   if (Words[0] == "random") {
     return searchRandom(Scenario, numberAt(Words, 1, 1), numberAt(Words, 2, 1),
