Soak the sites' interface with random disruptions

Callers would see tasks run twice, capacities exceeded, lost or false answers; so far only the product's own interface had a soak, and the sites' one (lists, leases, heartbeats) had single cases.

tests/processes/site_soak_test.py plays disruptions drawn from a seed, several at a time, beside clients that keep their connections: foreign and late heartbeats, also to companions that have just started; crashes of runners under the same and another id, with `born` later and earlier; runners that pause, take up to kill_grace_ms to end runs, have a clock 2% slow, lose answers and are late with orders; SIGSTOP, SIGKILL, SIGTERM and SIGHUP of entries and companions. Judged while it runs: TWICE, LIMIT, MIXED, broken connections, processes that end by themselves; at the end, service again. site_stand_ins.py holds what it shares with foreign_heartbeat_test.py (use_build and the kinds of heartbeats, moved).

--- a/tests/processes/foreign_heartbeat_test.py
+++ b/tests/processes/foreign_heartbeat_test.py
@@ -11,12 +11,9 @@
 import sys
 import tempfile
 
-ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
-sys.path.insert(0, os.path.join(ROOT, "review"))
-sys.dont_write_bytecode = True
+from site_stand_ins import KINDS, stand_ins, use_build
 
-import stand_ins  # noqa: E402
-from stand_ins import call, make_configuration, new_id, submit  # noqa: E402
+from stand_ins import call, make_configuration, new_id, submit
 
 CLIENTS = 10
 TASKS = 4
@@ -27,46 +24,6 @@
 PAUSE_S = 1.2
 
 
-def use_build(build):
-    """Lets the stand-ins start the daemon of this build instead of the deployed one."""
-    read_role = stand_ins.read_role
-
-    def read(name):
-        command, template = read_role(name)
-        return [f"{build}/programs/crocuswoodd/crocuswoodd"] + command[1:], template
-
-    stand_ins.read_role = read
-
-
-def of_another_endpoint(runner):
-    """The sound heartbeat of a runner elsewhere that started later."""
-    return "i-0ddba115", dict(runner.describe(), addr="127.0.9.9:9", born=runner.born + 7)
-
-
-def of_another_service(runner):
-    return "i-0ddba116", dict(runner.describe(), service="not-named-here", addr="127.0.9.9:9",
-                              born=runner.born + 9)
-
-
-def without_birth(runner):
-    value = runner.describe()
-    del value["born"]
-    return runner.id, value
-
-
-def with_birth_as_text(runner):
-    return runner.id, dict(runner.describe(), born="yesterday")
-
-
-def of_another_life(runner):
-    """Its own id, as after a restart that never was, or late from an earlier life."""
-    return runner.id, dict(runner.describe(), born=runner.born + 11)
-
-
-KINDS = [of_another_endpoint, of_another_service, without_birth, with_birth_as_text,
-         of_another_life]
-
-
 async def keep_sending(fleet, number, statuses):
     while True:
         entry = fleet.entries[number % len(fleet.entries)]
