--- a/tests/processes/site_soak_test.py
+++ b/tests/processes/site_soak_test.py
@@ -33,7 +33,7 @@
 
 LOAD_S = 1.5
 DISRUPTIONS_S = 7
-MOST_AT_ONCE = 4
+MOST_AT_ONCE = 6
 KINDS_OF_A_SEED = (3, 11)
 RECOVERY_S = 10
 DEADLINE_MS = 5000
@@ -224,6 +224,7 @@
     going.set()
     clients = [Client(fleet, random.Random(f"{seed} client {number}"), make_load)
                for number in range(int(fleet.companion_count * CLIENTS_PER_COMPANION))]
+    lateness = asyncio.create_task(note_late_loop(fleet.record))
     traffic = [asyncio.create_task(client.keep_working(going)) for client in clients]
     await asyncio.sleep(LOAD_S)
     chosen = [each.__name__ for each in Disruptions(fleet, draw).choose()]
@@ -244,6 +245,7 @@
             fleet.judge.fault("RECOVER", "not all entries do jobs again")
             break
         await asyncio.sleep(0.2)
+    lateness.cancel()
     fleet.check_alive()
     if not any(state == "completed" for _, state in fleet.answers):
         fleet.judge.fault("RECOVER", "no job was completed")
@@ -254,14 +256,16 @@
 async def run(folder, record, seed, options):
     fleet = SiteFleet(folder, record, random.Random(f"{seed} runners"),
                       companions=options.companions, entries=options.entries)
-    lateness = asyncio.create_task(note_late_loop(record))
     try:
         await asyncio.wait_for(play(fleet, seed), LIMIT_S)
     except (stand_ins.CannotRun, asyncio.TimeoutError) as error:
         fleet.judge.fault("RUN", repr(error))
     finally:
-        lateness.cancel()
         fleet.close()
+        # Connections close while there is a loop.
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        await asyncio.sleep(0.05)
     return fleet.judge.faults
 
 
