Count no crash for a run that the next life of the endpoint lists

What callers would see: a job that fails though one endpoint crashed under its task. Cause: since only a listing tells of a new life, a task may begin in it before that listing. It was known to run, so the crash of the life before was counted for it. Change: what the list of the new life shows, as going on or ended, was not on the endpoint when it crashed.

--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -174,13 +174,15 @@
   void suspend(const std::string &Reason);
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
-  void changeLife(instant Now, const std::string &Life);
+  void changeLife(instant Now, const run_list &List);
   /// The endpoint has seen a greater fence, of an earlier life of this
   /// companion whose clock was ahead.
   void raiseFence();
   /// \returns whether \p Run is known to have been on the endpoint.
   static bool isProved(const run &Run) { return Run.ConfirmedAt || Run.Seen; }
-  void rememberProved();
+  /// Remembers what is known to have been on the endpoint, but for \p Shown:
+  /// what its next life lists began there.
+  void rememberProved(const std::set<run_id> &Shown);
   /// Tells the core what was on the endpoint when it crashed.
   void reportCrash();
   /// Does so if an endpoint whose leases have ended is probably gone.
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -163,7 +163,7 @@
   }
   Announcements.noteListed(List.Life);
   if (List.Life != Life) {
-    changeLife(Now, List.Life);
+    changeLife(Now, List);
   }
   // The endpoint is in the life in which these runs lost their lease.
   EndedUnseen.clear();
@@ -347,7 +347,8 @@
   }
 }
 
-void supervisor::changeLife(instant Now, const std::string &Next) {
+void supervisor::changeLife(instant Now, const run_list &List) {
+  const std::string &Next = List.Life;
   const auto Ended = std::ranges::count_if(
       Runs, [](const auto &Item) { return Item.second.Seen; });
   tell(companion::endpoint_restarted{.From = Life,
@@ -358,7 +359,11 @@
     // Precedes the ends of runs, whose room is that of the earlier life.
     suspend("it has begun another life");
   }
-  rememberProved();
+  std::set<run_id> Shown(List.Active.begin(), List.Active.end());
+  for (const listed_end &End : List.Ended) {
+    Shown.insert(End.Run);
+  }
+  rememberProved(Shown);
   reportCrash();
   Departing = false;
   // A restarted endpoint runs nothing that was listed before. Other orders may
@@ -380,8 +385,11 @@
 }
 
 // A run that was ordered without any proof may never have begun.
-void supervisor::rememberProved() {
+void supervisor::rememberProved(const std::set<run_id> &Shown) {
   for (const auto &[Id, Run] : Runs) {
+    if (Shown.contains(Id)) {
+      continue;
+    }
     if (isProved(Run)) {
       rememberUnseen(makeCrashed(Id, Run));
     } else {
@@ -468,7 +476,7 @@
   if (!haveLeasesEnded(Now)) {
     return;
   }
-  rememberProved();
+  rememberProved({});
   checkGone(Now);
   endAll("its lease ended unseen");
   // Nothing that an earlier life started can have a lease any more.
