Take no list without a life, and no heartbeat with members missing

What callers would see: a task that runs twice, or an endpoint that gets no work for the rest of its life. Cause: a list whose `born` was missing or no whole number counted as one of another life, which ended all runs. A list of 500 ends was taken for complete.

--- a/tests/site/formats_test.cpp
+++ b/tests/site/formats_test.cpp
@@ -51,6 +51,12 @@
            {"\"cpu\":16000", "\"cpu\":-1"},
            {"10.128.0.9:8080", "nowhere"},
            {"\"call_seq\":4", "\"call\":4"},
+           {"\"zone\"", "\"zones\""},
+           {"\"version\":\"v1\"", "\"version\":1"},
+           {"\"cold_left_ms\":0,", ""},
+           {"\"born\":1785816747666,", ""},
+           {"1785816747666", "\"yesterday\""},
+           {"1785816747666", "1.5"},
            {"{\"service\"", "[\"service\""}}) {
     CHECK_TRUE(hasFault(parseHeartbeat("i-1", replace(Heartbeat, Old, New))));
   }
@@ -137,6 +143,31 @@
   CHECK_FALSE(parseRunList(R"({"clock_ms":1})").has_value());
 }
 
+// Guards against a list that is taken for one of another life, since it does
+// not say of which it is: the runs would count as ended.
+TEST(Formats, AListWithoutALifeIsNone) {
+  for (const char *Born :
+       {"", R"("born":"7",)", R"("born":-7,)", R"("born":null,)"}) {
+    CHECK_FALSE(parseRunList(std::string("{") + Born +
+                             R"("active":[],"ended_runs":[]})")
+                    .has_value());
+  }
+}
+
+TEST(Formats, AListOfAsManyEndsAsItHoldsLeavesOutOthers) {
+  std::string Ends = R"([1,"5c0e.0.0.1",1,"done",""])";
+  for (int Number = 2; Number <= 499; ++Number) {
+    Ends += ",[" + std::to_string(Number) + R"(,"5c0e.0.0.1",1,"done",""])";
+  }
+  const auto Parse = [](const std::string &Ended) {
+    return parseRunList(R"({"born":7,"active":[],"ended_runs":[)" + Ended +
+                        "]}");
+  };
+  CHECK_FALSE(Parse(Ends).value().LeavesOutEnds);
+  CHECK_TRUE(
+      Parse(Ends + R"(,[500,"5c0e.0.0.1",1,"done",""])").value().LeavesOutEnds);
+}
+
 TEST(Formats, ARouteBecomesAClass) {
   findings Faults;
   const auto Parsed = parseOperatorDocument(
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -29,7 +29,8 @@
 
 std::string makeBeat(std::uint64_t Born, std::uint64_t Sequence,
                      std::uint32_t MilliCores) {
-  return R"({"service":"s","addr":"10.0.0.9:80","slots":8,"state":"ready",)"
+  return R"({"service":"s","addr":"10.0.0.9:80","zone":"asolo","version":"v1",)"
+         R"("slots":8,"state":"ready","cold_left_ms":0,)"
          R"("capacity":{"cpu":)" +
          std::to_string(MilliCores) + R"(,"mem_mb":64,"gpu":0},"born":)" +
          std::to_string(Born) + R"(,"call_seq":)" + std::to_string(Sequence) +
@@ -175,6 +176,15 @@
   CHECK_EQUAL(4'000U, getCores());
 }
 
+TEST(RunnerHeartbeats, ALeaveIsHandedOnWithItsName) {
+  bool IsDone = false;
+  Client.send(Beats, {.Method = "POST", .Path = "/instances/i-1/deregister"},
+              [&](const http::plain_reply & /*Reply*/) { IsDone = true; });
+  runUntil(IsDone);
+  CHECK_EQUAL(1U, Left.size());
+  STRCMP_EQUAL("i-1", Left.front().c_str());
+}
+
 TEST(RunnerHeartbeats, OneWithoutItsSizesChangesNothing) {
   beat("i-1", makeBeat(7, 3, 4'000));
   std::string Other = makeBeat(7, 4, 8'000);
