--- a/packages/ports/include/crocuswood/ports.h
+++ b/packages/ports/include/crocuswood/ports.h
@@ -173,8 +173,12 @@
 struct start_order {
   run_id Run;
   payload Input;
-  std::string Life; ///< Of the endpoint that is meant; another one refuses.
-  duration Lease{}; ///< For everything on the endpoint, from the sending on.
+  std::string Life; ///< Of the endpoint that is meant.
+  /// Name under which that life has announced itself. An endpoint of another
+  /// name refuses; a later life under the same name does not.
+  std::string Instance;
+  duration Lease{};  ///< For everything on the endpoint, from DecidedAt on.
+  instant DecidedAt; ///< On the clock_port of the process.
   /// An endpoint refuses orders whose number is smaller than one that it has
   /// seen in its life.
   std::uint64_t Fence = 0;
@@ -182,6 +186,16 @@
   friend bool operator==(const start_order &, const start_order &) = default;
 };
 
+/// Orders a leased endpoint to stop a run. A run that has not begun is barred
+/// from beginning.
+struct stop_order {
+  run_id Run;
+  std::string Instance;    ///< As in start_order; empty for any.
+  std::uint64_t Fence = 0; ///< As in start_order.
+
+  friend bool operator==(const stop_order &, const stop_order &) = default;
+};
+
 /// How an order to a leased endpoint ended.
 enum class order_status : std::uint8_t {
   Done,       ///< Carried out.
@@ -197,7 +211,8 @@
 /// Asks for the runs of an endpoint, and may renew the lease of all of them.
 struct list_request {
   std::uint64_t Acknowledged = 0; ///< Ends up to this number may be forgotten.
-  std::optional<duration> Lease;  ///< From the sending on; nothing renews none.
+  std::optional<duration> Lease;  ///< From DecidedAt on; nothing renews none.
+  instant DecidedAt;              ///< As in start_order.
   duration Wait{}; ///< The endpoint answers by then, or at the next end.
   std::uint64_t Fence = 0; ///< As in start_order.
 
@@ -222,6 +237,8 @@
   std::string Life; ///< Of the endpoint that answered.
   std::vector<run_id> Active;
   std::vector<listed_end> Ended; ///< Not acknowledged yet, by number.
+  /// There are more ends than one list holds.
+  bool LeavesOutEnds = false;
 
   friend bool operator==(const run_list &, const run_list &) = default;
 };
@@ -239,8 +256,7 @@
   virtual ~leased_endpoint() = default;
   virtual void start(start_order Order,
                      std::function<void(order_outcome)> Done) = 0;
-  /// Stops \p Run. A run that has not begun is barred from beginning.
-  virtual void stop(const run_id &Run, std::uint64_t Fence,
+  virtual void stop(const stop_order &Order,
                     std::function<void(order_outcome)> Done) = 0;
   virtual void list(list_request Request,
                     std::function<void(list_outcome)> Done) = 0;
--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -26,6 +26,10 @@
   /// How long runs go on without a renewal. Short, so that the runs of a
   /// companion that has died end soon; long enough for three renewals.
   duration Lease = std::chrono::milliseconds(320);
+  /// How long a lease lasts at most, whatever an order says. An order that
+  /// reaches the endpoint's next life gets this one: the end that it states is
+  /// far ahead on the new clock. 1,000 ms on a clock that is slow by 2%.
+  duration LongestLease = std::chrono::milliseconds(1'021);
   /// How long one listing waits for an end. After a lost one the next does not
   /// wait, so that several fit into SilenceLimit.
   duration ListWait = std::chrono::milliseconds(100);
@@ -52,8 +56,7 @@
   start_order Order;
 };
 struct send_stop {
-  run_id Run;
-  std::uint64_t Fence = 0; ///< As in start_order.
+  stop_order Order;
 };
 struct send_list {
   list_request Request;
@@ -64,6 +67,39 @@
 };
 using step = std::variant<send_start, send_stop, send_list, tell_core>;
 
+/// Decides which announcements are those of the endpoint that takes the
+/// orders. Anybody can send one, and a late one may be of an earlier life, so
+/// an announcement counts only if the endpoint's own list names the same life.
+class announcement_filter {
+public:
+  /// An announcement that counts, or why it does not.
+  using verdict = std::variant<companion::endpoint_announcement, std::string>;
+
+  verdict take(companion::endpoint_announcement Announcement);
+  /// The endpoint has listed its runs in \p Life. An announcement of that life
+  /// which came before counts from now on.
+  void noteListed(const std::string &Life);
+  /// The endpoint \p Name says that it is about to end. \returns its latest
+  /// announcement, as absent.
+  verdict takeLeave(const std::string &Name);
+  /// \returns the latest announcement of the life that was listed last, or
+  /// nothing.
+  const companion::endpoint_announcement *getLatest() const;
+
+private:
+  /// \returns why \p Announcement can't be of the life that has announced
+  /// itself, or nothing.
+  std::string
+  findContradiction(const companion::endpoint_announcement &Announcement) const;
+  void hold(companion::endpoint_announcement Announcement);
+
+  std::optional<std::string> ListedLife;
+  /// That counted last; perhaps of an earlier life.
+  std::optional<companion::endpoint_announcement> Latest;
+  /// Of lives that have not been listed, the latest at the back.
+  std::deque<companion::endpoint_announcement> Held;
+};
+
 /// Knows of every run whether it may still go on. A run is reported as ended
 /// only with proof: a listed end, a refusal, a listing from after a confirmed
 /// stop or with a greater fence than the start's, or a lease that was not
@@ -82,10 +118,11 @@
                        const order_outcome &Outcome);
   /// Takes the answer to the latest send_list.
   void takeList(instant Now, const list_outcome &Outcome);
-  /// The endpoint has announced itself with this life.
-  void noteLife(instant Now, const std::string &Life);
-  /// The endpoint is about to end as planned, with everything on it.
-  void noteDeparture(const std::string &Life);
+  /// Somebody has announced itself as the endpoint. The core is told of it if
+  /// the endpoint's own list names the same life.
+  void takeAnnouncement(companion::endpoint_announcement Announcement);
+  /// The endpoint \p Name is about to end as planned, with everything on it.
+  void takeLeave(const std::string &Name);
   /// Does what time alone makes due.
   void advance(instant Now);
   /// \returns when advance() is due next.
@@ -119,7 +156,12 @@
   };
   using run_map = std::map<run_id, run>;
 
+  /// Tells the core of the endpoint. One that does not answer is not
+  /// announced, whatever it says of itself; that it leaves is always passed on.
+  void announce();
+  void ignore(const std::string &Name, std::string Reason);
   void sendStop(instant Now, const run_id &Id, run &Run);
+  stop_order makeStop(const run_id &Id) const;
   /// Takes what proves that the start was carried out.
   static void confirm(instant Now, run &Run);
   /// Stops a run whose start has no answer, since no listing shows it.
@@ -128,34 +170,48 @@
   void takeEnd(const listed_end &End);
   void takeListFailure(instant Now, list_failure Failure);
   void fallSilent(const std::string &Reason);
+  /// The core gives the endpoint no work until it is announced again.
+  void suspend(const std::string &Reason);
   void checkMissing(instant Now, const std::set<run_id> &Active);
   void checkForeign(instant Now, const std::set<run_id> &Active);
-  void changeLife(instant Now, const std::string &Life);
+  void changeLife(instant Now, const run_list &List);
   /// The endpoint has seen a greater fence, of an earlier life of this
   /// companion whose clock was ahead.
   void raiseFence();
   /// \returns whether \p Run is known to have been on the endpoint.
   static bool isProved(const run &Run) { return Run.ConfirmedAt || Run.Seen; }
-  void rememberProved();
+  /// Remembers what is known to have been on the endpoint, but for \p Shown:
+  /// what its next life lists began there.
+  void rememberProved(const std::set<run_id> &Shown);
   /// Tells the core what was on the endpoint when it crashed.
   void reportCrash();
   /// Does so if an endpoint whose leases have ended is probably gone.
   void checkGone(instant Now);
   void rememberUnseen(crashed_task Task);
-  static crashed_task describe(const run_id &Id, const run &Run);
+  static crashed_task makeCrashed(const run_id &Id, const run &Run);
   void settle();
+  /// Orders of earlier lives may have renewed the lease until \p Now.
+  void allowLongestLease(instant Now);
+  /// \returns whether every lease on the endpoint has ended.
+  bool haveLeasesEnded(instant Now) const;
   /// Reports the end of a run that did not complete.
   void endRun(run_map::iterator Place, const std::string &Reason);
   void endAll(const std::string &Reason);
   void checkSilence(instant Now);
   void sendList(instant Now);
   bool mayRenew(instant Now) const;
+  /// \returns whether a run has gone on for StopLimit since its first stop.
+  bool resistsStop(instant Now) const;
+  /// Tells the core when renewals end.
+  void noteWithheld(bool Is);
   template <class Event> void tell(Event Value) {
     Steps.emplace_back(tell_core{.Event = std::move(Value)});
   }
 
   options Options;
   std::string Life; ///< Of the endpoint as last listed.
+  announcement_filter Announcements;
+  bool Announced = false; ///< The core knows the latest announcement.
   run_map Runs;
   std::map<task_id, run_id> ByTask;
   std::map<run_id, instant> Foreign; ///< Runs of earlier lives, last stopped.
@@ -177,6 +233,11 @@
   instant ListSentAt;
   instant ListedAt;  ///< Of the latest answer.
   instant RenewedAt; ///< The latest lease was sent.
+  /// Until then leases from orders of earlier lives may hold.
+  instant EarlierUntil;
+  bool FenceKnown = false; ///< The endpoint has answered to the present fence.
+  bool Withheld = false; ///< The latest listing did not renew, though runs are
+                         ///< known.
   bool Settled = false;
   bool Silent = false;
   std::vector<step> Steps;
--- a/packages/runs/src/supervisor.cpp
+++ b/packages/runs/src/supervisor.cpp
@@ -12,13 +12,20 @@
 /// The time of day may have gone back by minutes between two lives.
 constexpr std::uint64_t FirstFenceStep = 1'000'000;
 
+std::string describe(const run_id &Run) {
+  return "task " + std::to_string(Run.Task) + " of " + Run.Job + ", attempt " +
+         std::to_string(Run.Attempt);
+}
+
 } // namespace
 
 supervisor::supervisor(options Options, instant Now)
-    // An earlier life of this companion may have renewed the lease just now.
     : Options(Options),
       Fence(static_cast<std::uint64_t>(Now.time_since_epoch().count())),
-      FenceStep(FirstFenceStep), ListedAt(Now), RenewedAt(Now) {}
+      FenceStep(FirstFenceStep), ListedAt(Now), RenewedAt(Now) {
+  // An earlier life of this companion may have renewed the lease just now.
+  allowLongestLease(Now);
+}
 
 std::vector<step> supervisor::takeSteps() { return std::exchange(Steps, {}); }
 
@@ -26,9 +33,18 @@
   const run_id Id{.Job = std::move(Start.RunName),
                   .Task = Start.Task.Index,
                   .Attempt = Start.Attempt};
-  if (!isReady()) {
+  const companion::endpoint_announcement *Endpoint = Announcements.getLatest();
+  if (!isReady() || Endpoint == nullptr) {
+    tell(companion::run_refused{
+        .Task = Start.Task,
+        .Reason = Endpoint == nullptr ? "the endpoint has not announced "
+                                        "its life"
+                                      : "the endpoint does not answer"});
+    return;
+  }
+  if (!Start.Life.empty() && Start.Life != Life) {
     tell(companion::run_refused{.Task = Start.Task,
-                                .Reason = "the endpoint does not answer"});
+                                .Reason = "it was meant for an earlier life"});
     return;
   }
   if (Runs.contains(Id)) {
@@ -36,6 +52,12 @@
                                 .Reason = "this run goes on already"});
     return;
   }
+  if (resistsStop(Now)) {
+    // A start renews the lease of everything on the endpoint.
+    tell(companion::run_refused{.Task = Start.Task,
+                                .Reason = "a stop has had no effect"});
+    return;
+  }
   Runs.emplace(Id, run{.Task = Start.Task,
                        .Class = std::move(Start.Class),
                        .Crashes = Start.Crashes,
@@ -46,7 +68,9 @@
   Steps.emplace_back(send_start{.Order = {.Run = Id,
                                           .Input = std::move(Start.Input),
                                           .Life = Life,
+                                          .Instance = Endpoint->Name,
                                           .Lease = Options.Lease,
+                                          .DecidedAt = Now,
                                           .Fence = Fence}});
 }
 
@@ -64,7 +88,14 @@
 void supervisor::sendStop(instant Now, const run_id &Id, run &Run) {
   Run.StopAskedAt = Run.StopAskedAt.value_or(Now);
   Run.StopSentAt = Now;
-  Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
+  Steps.emplace_back(send_stop{makeStop(Id)});
+}
+
+stop_order supervisor::makeStop(const run_id &Id) const {
+  const companion::endpoint_announcement *Endpoint = Announcements.getLatest();
+  return {.Run = Id,
+          .Instance = Endpoint == nullptr ? std::string() : Endpoint->Name,
+          .Fence = Fence};
 }
 
 void supervisor::takeStartOutcome(instant Now, const run_id &Id,
@@ -125,8 +156,14 @@
   ListLost = false;
   Refuses = false;
   ListedAt = Now;
+  if (!FenceKnown && ListFence == Fence) {
+    // Orders of earlier lives could renew the lease until now.
+    FenceKnown = true;
+    allowLongestLease(Now);
+  }
+  Announcements.noteListed(List.Life);
   if (List.Life != Life) {
-    changeLife(Now, List.Life);
+    changeLife(Now, List);
   }
   // The endpoint is in the life in which these runs lost their lease.
   EndedUnseen.clear();
@@ -134,12 +171,16 @@
   CrashTold = false;
   takeEnds(List);
   const std::set<run_id> Active(List.Active.begin(), List.Active.end());
-  checkMissing(Now, Active);
+  // A run that it does not show may be among the ends that were left out.
+  if (!List.LeavesOutEnds) {
+    checkMissing(Now, Active);
+  }
   checkForeign(Now, Active);
   if (Foreign.empty()) {
     settle();
   }
   Silent = false;
+  announce();
   sendList(Now);
 }
 
@@ -155,6 +196,7 @@
 }
 
 void supervisor::raiseFence() {
+  FenceKnown = false;
   Fence += FenceStep;
   FenceStep *= 2;
 }
@@ -162,10 +204,16 @@
 void supervisor::fallSilent(const std::string &Reason) {
   if (!Silent) {
     Silent = true;
-    tell(companion::endpoint_silent{.Reason = Reason});
+    suspend(Reason);
   }
 }
 
+void supervisor::suspend(const std::string &Reason) {
+  // The endpoint is announced anew once it answers.
+  Announced = false;
+  tell(companion::endpoint_silent{.Reason = Reason});
+}
+
 void supervisor::takeEnds(const run_list &List) {
   for (const listed_end &End : List.Ended) {
     if (End.Number > Acknowledged) {
@@ -216,11 +264,14 @@
     stopUnproved(Now, Each->first, Run);
     // Only a listing that was asked for after the answer can prove anything.
     const bool Confirmed = Run.ConfirmedAt && *Run.ConfirmedAt <= ListSentAt;
-    const bool Stopped = Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
+    // A stop bars the run in one life only, and an order that reaches the next
+    // one finds another clock there.
+    const bool Stopped =
+        !Run.Outlived && Run.StoppedAt && *Run.StoppedAt <= ListSentAt;
     // An order that arrives after the lease that it carries is refused. Until
     // then stops are repeated, of which one is likely to arrive before it.
     const bool Expired =
-        Run.Phase == phase::Unclear && Run.StopAskedAt &&
+        !Run.Outlived && Run.Phase == phase::Unclear && Run.StopAskedAt &&
         ListSentAt - *Run.StopAskedAt >= Options.Lease + Options.LeaseMargin;
     const bool Fenced = Run.Fence < ListFence;
     if (Confirmed || Stopped || Expired || Fenced) {
@@ -233,30 +284,86 @@
 void supervisor::checkForeign(instant Now, const std::set<run_id> &Active) {
   std::erase_if(Foreign,
                 [&](const auto &Item) { return !Active.contains(Item.first); });
+  companion::unknown_runs Unknown;
   for (const run_id &Id : Active) {
     if (Runs.contains(Id)) {
       continue;
     }
     const auto [Place, Added] = Foreign.try_emplace(Id, Now);
+    if (Added) {
+      ++Unknown.Count;
+      Unknown.First = describe(Id);
+    }
     if (Added || Now - Place->second >= Options.StopRetry) {
       Place->second = Now;
-      Steps.emplace_back(send_stop{.Run = Id, .Fence = Fence});
+      Steps.emplace_back(send_stop{makeStop(Id)});
     }
   }
+  if (Unknown.Count > 0) {
+    tell(std::move(Unknown));
+  }
+}
+
+void supervisor::takeAnnouncement(
+    companion::endpoint_announcement Announcement) {
+  const std::string Name = Announcement.Name;
+  auto Verdict = Announcements.take(std::move(Announcement));
+  if (auto *Reason = std::get_if<std::string>(&Verdict)) {
+    ignore(Name, std::move(*Reason));
+    return;
+  }
+  // A leave that was late was that of an earlier life.
+  Departing = Departing &&
+              Announcements.getLatest()->Offer.State != endpoint_state::Serving;
+  Announced = false;
+  announce();
 }
 
-void supervisor::noteLife(instant Now, const std::string &Announced) {
-  if (!Life.empty() && Announced != Life) {
-    changeLife(Now, Announced);
+void supervisor::takeLeave(const std::string &Name) {
+  auto Verdict = Announcements.takeLeave(Name);
+  if (auto *Reason = std::get_if<std::string>(&Verdict)) {
+    ignore(Name, std::move(*Reason));
+    return;
   }
+  Departing = true;
+  Announced = false;
+  announce();
+}
+
+void supervisor::ignore(const std::string &Name, std::string Reason) {
+  tell(companion::announcement_ignored{.Name = Name,
+                                       .Reason = std::move(Reason)});
 }
 
-void supervisor::noteDeparture(const std::string &Announced) {
-  Departing = Departing || Announced == Life;
+void supervisor::announce() {
+  const companion::endpoint_announcement *Latest = Announcements.getLatest();
+  if (Latest == nullptr || Announced) {
+    return;
+  }
+  const bool Serves = Latest->Offer.State == endpoint_state::Serving;
+  if (!Serves || isReady()) {
+    Announced = true;
+    tell(companion::endpoint_announced{.Announcement = *Latest});
+  }
 }
 
-void supervisor::changeLife(instant Now, const std::string &Next) {
-  rememberProved();
+void supervisor::changeLife(instant Now, const run_list &List) {
+  const std::string &Next = List.Life;
+  const auto Ended = std::ranges::count_if(
+      Runs, [](const auto &Item) { return Item.second.Seen; });
+  tell(companion::endpoint_restarted{.From = Life,
+                                     .To = Next,
+                                     .EndedRuns =
+                                         static_cast<std::uint32_t>(Ended)});
+  if (!Life.empty()) {
+    // Precedes the ends of runs, whose room is that of the earlier life.
+    suspend("it has begun another life");
+  }
+  std::set<run_id> Shown(List.Active.begin(), List.Active.end());
+  for (const listed_end &End : List.Ended) {
+    Shown.insert(End.Run);
+  }
+  rememberProved(Shown);
   reportCrash();
   Departing = false;
   // A restarted endpoint runs nothing that was listed before. Other orders may
@@ -270,16 +377,21 @@
   }
   Fence = std::max(Fence + 1,
                    static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+  FenceKnown = false;
+  allowLongestLease(Now);
   Life = Next;
   Acknowledged = 0;
   Foreign.clear();
 }
 
 // A run that was ordered without any proof may never have begun.
-void supervisor::rememberProved() {
+void supervisor::rememberProved(const std::set<run_id> &Shown) {
   for (const auto &[Id, Run] : Runs) {
+    if (Shown.contains(Id)) {
+      continue;
+    }
     if (isProved(Run)) {
-      rememberUnseen(describe(Id, Run));
+      rememberUnseen(makeCrashed(Id, Run));
     } else {
       EndedUnproved = true;
     }
@@ -315,7 +427,7 @@
   }
 }
 
-crashed_task supervisor::describe(const run_id &Id, const run &Run) {
+crashed_task supervisor::makeCrashed(const run_id &Id, const run &Run) {
   return {.RunName = Id.Job,
           .Index = Id.Task,
           .Class = Run.Class,
@@ -348,14 +460,23 @@
   }
 }
 
+void supervisor::allowLongestLease(instant Now) {
+  EarlierUntil = Now + Options.LongestLease + Options.LeaseMargin;
+}
+
+bool supervisor::haveLeasesEnded(instant Now) const {
+  return Now >= EarlierUntil &&
+         Now - RenewedAt >= Options.Lease + Options.LeaseMargin;
+}
+
 void supervisor::checkSilence(instant Now) {
   if (Now - ListedAt >= Options.SilenceLimit) {
     fallSilent("it does not list its runs");
   }
-  if (Now - RenewedAt < Options.Lease + Options.LeaseMargin) {
+  if (!haveLeasesEnded(Now)) {
     return;
   }
-  rememberProved();
+  rememberProved({});
   checkGone(Now);
   endAll("its lease ended unseen");
   // Nothing that an earlier life started can have a lease any more.
@@ -366,10 +487,11 @@
 bool supervisor::mayRenew(instant Now) const {
   // A renewal may arrive although no answer comes, so a silent endpoint gets
   // none: its runs then end for certain.
-  if (Runs.empty() || Silent) {
-    return false;
-  }
-  return std::ranges::none_of(Runs, [&](const auto &Item) {
+  return !Runs.empty() && !Silent && !resistsStop(Now);
+}
+
+bool supervisor::resistsStop(instant Now) const {
+  return std::ranges::any_of(Runs, [&](const auto &Item) {
     const run &Run = Item.second;
     return Run.StopAskedAt && Now - *Run.StopAskedAt >= Options.StopLimit;
   });
@@ -378,19 +500,33 @@
 void supervisor::sendList(instant Now) {
   Listing = true;
   ListSentAt = Now;
-  list_request Request{.Acknowledged = Acknowledged,
+  // After a lost listing the next life may answer, whose ends begin anew.
+  list_request Request{.Acknowledged = ListLost ? 0 : Acknowledged,
+                       .DecidedAt = Now,
                        .Wait = ListLost || Life.empty() ? duration::zero()
                                                         : Options.ListWait,
                        .Fence = Fence};
   ListFence = Fence;
   // The endpoint's clock is not known before its first listing.
-  if (!Life.empty() && mayRenew(Now)) {
+  const bool Renews = !Life.empty() && mayRenew(Now);
+  if (Renews) {
     Request.Lease = Options.Lease;
     RenewedAt = Now;
   }
+  noteWithheld(!Renews && !Runs.empty());
   Steps.emplace_back(send_list{.Request = Request});
 }
 
+void supervisor::noteWithheld(bool Is) {
+  if (Is && !Withheld) {
+    tell(companion::lease_withheld{
+        .Runs = static_cast<std::uint32_t>(Runs.size()),
+        .Reason =
+            Silent ? "the endpoint is silent" : "a stop has had no effect"});
+  }
+  Withheld = Is;
+}
+
 void supervisor::advance(instant Now) {
   for (auto &[Id, Run] : Runs) {
     if (Now - Run.UnclearAt >= Options.StartProofLimit) {
@@ -401,6 +537,7 @@
     }
   }
   checkSilence(Now);
+  announce();
   if (!Listing && Now - ListSentAt >= Options.ListRetry) {
     sendList(Now);
   }
--- a/tests/explorer/lib/companion_node.cpp
+++ b/tests/explorer/lib/companion_node.cpp
@@ -1,6 +1,7 @@
 #include "companion_node.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocuswood::explorer {
@@ -33,6 +34,28 @@
           {fault_kind::CrashEndpoint, milliseconds(500)}};
 }
 
+std::vector<fault> announcementFaults() {
+  return {{fault_kind::AnnounceOther}, {fault_kind::AnnounceLife}};
+}
+
+std::vector<fault> heartbeatFaults() {
+  std::vector<fault> Faults = announcementFaults();
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(150)});
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(500)});
+  Faults.push_back({fault_kind::DelayHeartbeat, milliseconds(2'000)});
+  return Faults;
+}
+
+/// Faults where an answer of the endpoint is taken.
+std::vector<fault> answerFaults() {
+  std::vector<fault> Faults = processFaults();
+  std::ranges::copy(announcementFaults(), std::back_inserter(Faults));
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(150)});
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(500)});
+  Faults.push_back({fault_kind::RepeatHeartbeat, milliseconds(2'000)});
+  return Faults;
+}
+
 } // namespace
 
 companion_node::companion_node(world &World, std::string Name,
@@ -42,8 +65,10 @@
     : linked_node(World, std::move(Name)), Options(std::move(Options)),
       RunOptions(RunOptions), Network(Network), Endpoint(Beside) {
   Beside.Announce = [this](const std::string &Life) {
-    takeAfter(Latency, "heartbeat", mix(Endpoint.labelOutput(), "beat"), {},
-              [this, Life] { takeAnnouncement(Life); });
+    LatestBeat = {.Name = Endpoint.getName(), .Life = Life, .SentAt = getNow()};
+    takeAfter(Latency, "heartbeat", mix(Endpoint.labelOutput(), "beat"),
+              heartbeatFaults(),
+              [this, Beat = LatestBeat] { takeAnnouncement(Beat); });
   };
 }
 
@@ -51,8 +76,6 @@
   Options.Self = {.Name = getName(),
                   .Incarnation = incarnation{mix(getLife(), getName())}};
   Options.Seed = static_cast<std::uint64_t>(Options.Self.Incarnation);
-  Latest.reset();
-  Announced = false;
   Core = std::make_unique<companion::core>(Options);
   Supervisor.emplace(RunOptions, getNow());
   handle(companion::timer_expired{});
@@ -63,6 +86,47 @@
 
 void companion_node::requestStop() { handle(companion::stop_requested{}); }
 
+bool companion_node::suffer(const fault &Fault) {
+  const heartbeat Foreign{
+      .Name = "stranger", .Life = "life of a stranger", .SentAt = getNow()};
+  const heartbeat Unknown{.Name = Endpoint.getName(),
+                          .Life = "life that never was",
+                          .SentAt = getNow()};
+  switch (Fault.Kind) {
+  case fault_kind::AnnounceOther:
+    take(mix(getLife(), "other"),
+         [this, Foreign] { takeAnnouncement(Foreign); });
+    return true;
+  case fault_kind::AnnounceLife:
+    take(mix(getLife(), "life"),
+         [this, Unknown] { takeAnnouncement(Unknown); });
+    return true;
+  case fault_kind::DelayHeartbeat:
+    takeLate(LatestBeat, Fault.Span);
+    return false;
+  case fault_kind::RepeatHeartbeat:
+    takeLate(LatestBeat, Fault.Span);
+    return true;
+  default:
+    return node::suffer(Fault);
+  }
+}
+
+void companion_node::takeLate(const heartbeat &Heartbeat, duration Span) {
+  const std::uint64_t Label =
+      mix(mix(static_cast<std::uint64_t>(
+                  Heartbeat.SentAt.time_since_epoch().count()),
+              Heartbeat.Life),
+          "late beat");
+  World.after(Span, {.What = "late heartbeat",
+                     .Who = getName(),
+                     .Label = mix(Label, getName()),
+                     .Run = [this, Label, Heartbeat] {
+                       take(Label,
+                            [this, Heartbeat] { takeAnnouncement(Heartbeat); });
+                     }});
+}
+
 void companion_node::linkOpened(link_id Link) {
   handle(companion::link_opened{Link});
 }
@@ -129,27 +193,19 @@
       "timer", mix(getLife(), "supervisor"), {}, [this] { tick(); });
 }
 
-void companion_node::takeAnnouncement(const std::string &Life) {
-  Supervisor->noteLife(getNow(), Life);
-  Latest = Life;
-  Announced = false;
-  carryOut();
-}
-
-void companion_node::announce() {
-  if (!Latest || Announced || !Supervisor->isReady()) {
-    return;
-  }
-  Announced = true;
-  handle(companion::endpoint_announced{
-      {.Name = Endpoint.getName(),
-       .Life = *Latest,
+void companion_node::takeAnnouncement(const heartbeat &Heartbeat) {
+  Supervisor->takeAnnouncement(
+      {.Name = Heartbeat.Name,
+       .Life = Heartbeat.Life,
        .Address = {.Host = "127.0.0.1", .Port = 9000},
        .Offer = {.State = endpoint_state::Serving,
                  .Classes = {"pool"},
                  .Slots = 8,
                  .MemoryBytes = 1ULL << 30U,
-                 .MilliCores = EndpointMilliCores}}});
+                 .MilliCores = EndpointMilliCores},
+       .Sequence = static_cast<std::uint64_t>(
+           Heartbeat.SentAt.time_since_epoch().count())});
+  carryOut();
 }
 
 void companion_node::carryOut() {
@@ -160,9 +216,6 @@
     }
     Steps = Supervisor->takeSteps();
   }
-  if (isAlive()) {
-    announce();
-  }
 }
 
 void companion_node::carryOut(runs::step Step) {
@@ -173,9 +226,6 @@
   } else if (auto *List = std::get_if<runs::send_list>(&Step)) {
     sendList(List->Request);
   } else if (auto *Tell = std::get_if<runs::tell_core>(&Step)) {
-    if (std::holds_alternative<companion::endpoint_silent>(Tell->Event)) {
-      Announced = false;
-    }
     handle(std::move(Tell->Event));
   }
 }
@@ -229,7 +279,7 @@
       return;
     }
     takeAfter(
-        Latency, "answer", Endpoint.labelOutput(), processFaults(),
+        Latency, "answer", Endpoint.labelOutput(), answerFaults(),
         [this, Call, Run, IsStart, Outcome] {
           Call->Answered = true;
           takeOutcome(Run, IsStart, Outcome);
@@ -270,16 +320,16 @@
 void companion_node::sendStop(const runs::send_stop &Stop) {
   const std::uint64_t Label = labelOutput();
   const auto Call = std::make_shared<call>();
-  const order_answer Answer = makeAnswer(Call, Stop.Run, false);
+  const order_answer Answer = makeAnswer(Call, Stop.Order.Run, false);
   sendOrder(
       "stop", Label, orderFaults(),
-      [this, Label, Run = Stop.Run, Answer](bool Answers) {
+      [this, Label, Run = Stop.Order.Run, Answer](bool Answers) {
         Endpoint.orderStop(Label, Run, Answers ? Answer : order_answer());
       },
       [Answer] { Answer({.Status = order_status::NotReached}); });
   takeAfter(
       OrderLimit, "order limit", mix(Label, "limit"), {},
-      [this, Call, Run = Stop.Run] {
+      [this, Call, Run = Stop.Order.Run] {
         Call->Answered = true;
         takeOutcome(Run, false, {.Status = order_status::Unknown});
       },
@@ -300,7 +350,7 @@
       return;
     }
     takeAfter(
-        Latency, "listing", Endpoint.labelOutput(), processFaults(),
+        Latency, "listing", Endpoint.labelOutput(), answerFaults(),
         [Take, Outcome] { Take(Outcome); }, [Call] { return !Call->Answered; });
   };
   sendOrder(
--- a/tests/site/formats_test.cpp
+++ b/tests/site/formats_test.cpp
@@ -36,10 +36,10 @@
 TEST(Formats, AHeartbeatNamesTheEndpoint) {
   const auto Parsed = parseHeartbeat("i-1", Heartbeat);
   CHECK_FALSE(hasFault(Parsed));
-  const auto &Report = std::get<runner_report>(Parsed);
-  CHECK_EQUAL(16'000U, Report.Announcement.Offer.MilliCores);
-  CHECK_EQUAL(std::string("1785816747666"), Report.Announcement.Life);
-  CHECK_TRUE(Report.Announcement.Offer.State == endpoint_state::Serving);
+  const auto &Report = std::get<companion::endpoint_announcement>(Parsed);
+  CHECK_EQUAL(16'000U, Report.Offer.MilliCores);
+  CHECK_EQUAL(std::string("1785816747666"), Report.Life);
+  CHECK_TRUE(Report.Offer.State == endpoint_state::Serving);
   CHECK_EQUAL(4U, Report.Sequence);
 }
 
@@ -51,6 +51,12 @@
            {"\"cpu\":16000", "\"cpu\":-1"},
            {"10.128.0.9:8080", "nowhere"},
            {"\"call_seq\":4", "\"call\":4"},
+           {"\"zone\"", "\"zones\""},
+           {"\"version\":\"v1\"", "\"version\":1"},
+           {"\"cold_left_ms\":0,", ""},
+           {"\"born\":1785816747666,", ""},
+           {"1785816747666", "\"yesterday\""},
+           {"1785816747666", "1.5"},
            {"{\"service\"", "[\"service\""}}) {
     CHECK_TRUE(hasFault(parseHeartbeat("i-1", replace(Heartbeat, Old, New))));
   }
@@ -63,7 +69,7 @@
   const auto Parsed =
       parseHeartbeat("i-1", replace(Heartbeat, "\"cpu\":16000", "\"cpu\":0"));
   CHECK_FALSE(hasFault(Parsed));
-  const auto &Offer = std::get<runner_report>(Parsed).Announcement.Offer;
+  const auto &Offer = std::get<companion::endpoint_announcement>(Parsed).Offer;
   CHECK_EQUAL(0U, capacityOf(Offer));
   CHECK_EQUAL(32'768ULL * 1024 * 1024, Offer.MemoryBytes);
 }
@@ -72,7 +78,7 @@
   const auto Parsed = parseHeartbeat(
       "i-1", replace(Heartbeat, R"({"cpu":16000,"mem_mb":32768,"gpu":0})",
                      R"({"cpu":4000,"mem_mb":1024,"gpu":2})"));
-  const auto &Offer = std::get<runner_report>(Parsed).Announcement.Offer;
+  const auto &Offer = std::get<companion::endpoint_announcement>(Parsed).Offer;
   CHECK_EQUAL(4'000U, capacityOf(Offer));
   CHECK_EQUAL(1'024ULL * 1024 * 1024, Offer.MemoryBytes);
   CHECK_EQUAL(2U, Offer.Accelerators);
@@ -99,7 +105,7 @@
 TEST(Formats, ADrainingRunnerLeaves) {
   const auto Parsed =
       parseHeartbeat("i-1", replace(Heartbeat, "ready", "draining"));
-  CHECK_TRUE(std::get<runner_report>(Parsed).Announcement.Offer.State ==
+  CHECK_TRUE(std::get<companion::endpoint_announcement>(Parsed).Offer.State ==
              endpoint_state::Leaving);
 }
 
@@ -137,6 +143,31 @@
   CHECK_FALSE(parseRunList(R"({"clock_ms":1})").has_value());
 }
 
+// Guards against a list that is taken for one of another life, since it does
+// not say of which it is: the runs would count as ended.
+TEST(Formats, AListWithoutALifeIsNone) {
+  for (const char *Born :
+       {"", R"("born":"7",)", R"("born":-7,)", R"("born":null,)"}) {
+    CHECK_FALSE(parseRunList(std::string("{") + Born +
+                             R"("active":[],"ended_runs":[]})")
+                    .has_value());
+  }
+}
+
+TEST(Formats, AListOfAsManyEndsAsItHoldsLeavesOutOthers) {
+  std::string Ends = R"([1,"5c0e.0.0.1",1,"done",""])";
+  for (int Number = 2; Number <= 499; ++Number) {
+    Ends += ",[" + std::to_string(Number) + R"(,"5c0e.0.0.1",1,"done",""])";
+  }
+  const auto Parse = [](const std::string &Ended) {
+    return parseRunList(R"({"born":7,"active":[],"ended_runs":[)" + Ended +
+                        "]}");
+  };
+  CHECK_FALSE(Parse(Ends).value().LeavesOutEnds);
+  CHECK_TRUE(
+      Parse(Ends + R"(,[500,"5c0e.0.0.1",1,"done",""])").value().LeavesOutEnds);
+}
+
 TEST(Formats, ARouteBecomesAClass) {
   findings Faults;
   const auto Parsed = parseOperatorDocument(
--- a/tests/site/runner_test.cpp
+++ b/tests/site/runner_test.cpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -19,27 +21,50 @@
 namespace {
 
 constexpr duration Limit = std::chrono::seconds(10);
+constexpr duration Lease = std::chrono::milliseconds(320);
+constexpr duration LongPause = std::chrono::milliseconds(200);
+constexpr std::uint64_t LeaseAfterPause = 120; ///< Milliseconds.
+// Of a runner that has been up for days.
+constexpr std::uint64_t LateClock = 500'000'000;
 
 std::string makeBeat(std::uint64_t Born, std::uint64_t Sequence,
                      std::uint32_t MilliCores) {
-  return R"({"service":"s","addr":"10.0.0.9:80","slots":8,"state":"ready",)"
+  return R"({"service":"s","addr":"10.0.0.9:80","zone":"asolo","version":"v1",)"
+         R"("slots":8,"state":"ready","cold_left_ms":0,)"
          R"("capacity":{"cpu":)" +
          std::to_string(MilliCores) + R"(,"mem_mb":64,"gpu":0},"born":)" +
          std::to_string(Born) + R"(,"call_seq":)" + std::to_string(Sequence) +
          "}";
 }
 
+std::string makeList(std::uint64_t Born, std::optional<std::uint64_t> Clock) {
+  return R"({"born":)" + std::to_string(Born) +
+         (Clock ? R"(,"clock_ms":)" + std::to_string(*Clock) : "") +
+         R"(,"active":[],"ended_runs":[]})";
+}
+
+// Stands still unless it is set.
+struct set_clock : public clock_port {
+  instant now() const override { return Now; }
+  std::int64_t wallMicroseconds() const override { return 0; }
+  instant Now{std::chrono::hours(1)};
+};
+
 } // namespace
 
 TEST_GROUP(RunnerHeartbeats) {
   void setup() override {
     const auto Lists = Orders.listen({.Host = "127.0.0.1"});
     Runner = std::make_unique<runner>(
-        Context,
+        Context, Clock,
         peer_address{.Host = "127.0.0.1",
                      .Port = std::get<std::uint16_t>(Lists)},
         [this](const companion::endpoint_announcement &Announcement) {
           Announced.push_back(Announcement);
+        },
+        [this](const std::string &Name) { Left.push_back(Name); },
+        [this](const std::string &Name, const std::string & /*Reason*/) {
+          Ignored.push_back(Name);
         });
     const auto Port = Runner->listen({.Host = "127.0.0.1"});
     Beats = {.Host = "127.0.0.1", .Port = std::get<std::uint16_t>(Port)};
@@ -66,22 +91,47 @@
     runUntil(IsDone);
     return Status;
   }
-  /// Lists the runs of a runner that was born at \p Born.
-  void list(std::uint64_t Born) {
-    ListBody = R"({"clock_ms":1,"active":[],"ended_runs":[],"born":)" +
-               std::to_string(Born) + "}";
+  /// Lists the runs, as the life \p Born whose clock shows \p Shown.
+  list_outcome list(std::uint64_t Born, std::optional<std::uint64_t> Shown,
+                    const list_request &Request = {}) {
+    list_request Decided = Request;
+    Decided.DecidedAt = Clock.Now - Pause;
+    const unsigned Status = std::exchange(OrderStatus, 200);
+    const std::string Body = std::exchange(ListBody, makeList(Born, Shown));
     bool IsDone = false;
-    Runner->list({}, [&](const list_outcome &List) {
-      CHECK_TRUE(std::holds_alternative<run_list>(List));
+    list_outcome Taken;
+    Runner->list(Decided, [&](const list_outcome &List) {
+      Taken = List;
       IsDone = true;
     });
     runUntil(IsDone);
+    OrderStatus = Status;
+    ListBody = Body;
+    return Taken;
+  }
+  /// \returns the milliseconds since the beginning of the test.
+  std::uint64_t getAge() const {
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - Begin)
+            .count());
+  }
+  /// \returns the end of the lease in the latest order, on the runner's clock.
+  std::optional<std::uint64_t> findDeadline() const {
+    constexpr std::string_view Member = "\"deadline_ms\":";
+    const std::size_t Place = LastOrder.find(Member);
+    if (Place == std::string::npos) {
+      return std::nullopt;
+    }
+    return std::stoull(LastOrder.substr(Place + Member.size()));
   }
   /// Starts a run. \returns how the order ended.
   order_outcome start() {
     order_outcome Taken;
     bool IsDone = false;
-    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"}},
+    Runner->start({.Run = {.Job = "5c0e7a21d94b36f8"},
+                   .Lease = Lease,
+                   .DecidedAt = Clock.Now - Pause},
                   [&](const order_outcome &Outcome) {
                     Taken = Outcome;
                     IsDone = true;
@@ -91,30 +141,48 @@
   }
   std::uint32_t getCores() const { return Announced.back().Offer.MilliCores; }
 
+  const std::chrono::steady_clock::time_point Begin =
+      std::chrono::steady_clock::now();
   boost::asio::io_context Context;
+  set_clock Clock;
   std::string ListBody; ///< Of the answers to all orders.
+  duration Pause{};     ///< Between a decision and its order.
   unsigned OrderStatus = 200;
+  unsigned Calls = 0;    ///< Orders and listings that have arrived.
+  std::string LastOrder; ///< Body of the latest one.
   http::plain_server Orders{Context,
                             {},
-                            [this](const http::plain_request & /*Request*/,
+                            [this](const http::plain_request &Request,
                                    const http::plain_server::respond &Respond) {
+                              ++Calls;
+                              LastOrder = Request.Body;
                               Respond(
                                   {.Status = OrderStatus, .Body = ListBody});
                             }};
   http::plain_client Client{Context, 1, Limit};
   std::vector<companion::endpoint_announcement> Announced;
+  std::vector<std::string> Left;
+  std::vector<std::string> Ignored; ///< Names in heartbeats without effect.
   std::unique_ptr<runner> Runner;
   peer_address Beats;
 };
 
-// Guards against a heartbeat that was held up and tells of room that has gone.
-TEST(RunnerHeartbeats, AnOlderOneOfTheSameLifeChangesNothing) {
-  beat("i-1", makeBeat(7, 3, 4'000));
-  CHECK_EQUAL(200U, beat("i-1", makeBeat(7, 2, 8'000)));
-  CHECK_EQUAL(1U, Announced.size());
+TEST(RunnerHeartbeats, AreHandedOnWithTheirLifeAndSequence) {
+  CHECK_EQUAL(200U, beat("i-1", makeBeat(7, 3, 4'000)));
+  const companion::endpoint_announcement &Announcement = Announced.back();
+  STRCMP_EQUAL("i-1", Announcement.Name.c_str());
+  STRCMP_EQUAL("7", Announcement.Life.c_str());
+  CHECK_EQUAL(3U, Announcement.Sequence);
   CHECK_EQUAL(4'000U, getCores());
-  beat("i-1", makeBeat(7, 4, 8'000));
-  CHECK_EQUAL(8'000U, getCores());
+}
+
+TEST(RunnerHeartbeats, ALeaveIsHandedOnWithItsName) {
+  bool IsDone = false;
+  Client.send(Beats, {.Method = "POST", .Path = "/instances/i-1/deregister"},
+              [&](const http::plain_reply & /*Reply*/) { IsDone = true; });
+  runUntil(IsDone);
+  CHECK_EQUAL(1U, Left.size());
+  STRCMP_EQUAL("i-1", Left.front().c_str());
 }
 
 TEST(RunnerHeartbeats, OneWithoutItsSizesChangesNothing) {
@@ -123,36 +191,14 @@
   Other.replace(Other.find("\"gpu\""), 5, "\"gxu\"");
   CHECK_EQUAL(400U, beat("i-1", Other));
   CHECK_EQUAL(1U, Announced.size());
-}
-
-// Guards against a heartbeat of a runner that has crashed, delivered after its
-// successor's, which would bring back its room and end the successor's runs.
-TEST(RunnerHeartbeats, OneOfAnEarlierLifeChangesNothing) {
-  beat("i-1", makeBeat(7, 90, 8'000));
-  beat("i-2", makeBeat(900, 1, 4'000));
-  list(900);
-  CHECK_EQUAL(200U, beat("i-1", makeBeat(7, 91, 8'000)));
-  CHECK_EQUAL(200U, beat("i-2", makeBeat(7, 92, 8'000)));
-  CHECK_EQUAL(2U, Announced.size());
-  CHECK_EQUAL(4'000U, getCores());
-}
-
-// Guards against a runner that is never taken since the time of day went back
-// before it started.
-TEST(RunnerHeartbeats, ASuccessorWithAnEarlierTimeCountsOnceItIsListed) {
-  beat("i-1", makeBeat(9'000, 90, 8'000));
-  list(9'000);
-  beat("i-1", makeBeat(7'000, 1, 4'000));
-  list(7'000);
-  CHECK_EQUAL(4'000U, getCores());
-  beat("i-1", makeBeat(7'000, 2, 2'000));
-  CHECK_EQUAL(2'000U, getCores());
+  CHECK_EQUAL(1U, Ignored.size());
 }
 
 // Guards against a reason that is nested so deep that reading it takes minutes,
 // or printing it overflows the stack and ends the companion.
 TEST(RunnerHeartbeats, ADeepReasonOfARefusalIsLeftOut) {
   constexpr std::size_t Levels = 200'000;
+  list(7, LateClock);
   OrderStatus = 409;
   ListBody = R"({"clock_ms":1,"reason":)" + std::string(Levels, '[') +
              std::string(Levels, ']') + "}";
@@ -162,9 +208,12 @@
 }
 
 TEST(RunnerHeartbeats, ALongReasonOfARefusalIsCut) {
+  list(7, LateClock);
   OrderStatus = 409;
   ListBody = R"({"clock_ms":1,"reason":")" + std::string(100'000, 'x') + "\"}";
-  CHECK_TRUE(start().Reason.size() < 1'000);
+  const order_outcome Outcome = start();
+  CHECK_TRUE(order_status::Refused == Outcome.Status);
+  CHECK_TRUE(Outcome.Reason.size() < 1'000);
 }
 
 // Without it a companion would wait for ever for a runner that has seen a
@@ -181,3 +230,69 @@
   runUntil(IsDone);
   CHECK_TRUE(list_outcome(list_failure::Fenced) == Taken);
 }
+
+// Without a lease of its own, a run would go on for as long as those that are
+// renewed, or for the longest lease.
+TEST(RunnerHeartbeats, AStartWithoutAKnownClockIsNotSent) {
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  CHECK_EQUAL(0U, Calls);
+}
+
+TEST(RunnerHeartbeats, TheClockOfAnEarlierLifeIsForgotten) {
+  list(7, LateClock);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= LateClock);
+  list(8, std::nullopt);
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  list(8, std::nullopt, {.Lease = Lease});
+  CHECK_FALSE(findDeadline().has_value());
+}
+
+TEST(RunnerHeartbeats, TheClockOfALaterLifeReplacesTheEarlierOne) {
+  list(7, LateClock);
+  list(8, 100);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= 100 && findDeadline() < LateClock);
+}
+
+// The answer may be late, and names no life.
+TEST(RunnerHeartbeats, TheAnswerOfAnOrderSetsNoClock) {
+  list(8, 100);
+  ListBody = R"({"clock_ms":)" + std::to_string(LateClock) + "}";
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= 100 && findDeadline() < LateClock);
+}
+
+// The supervisor counts a lease from its decision. The process may have been
+// paused, or its VM suspended, before the order is written.
+TEST(RunnerHeartbeats, APauseBeforeAStartShortensItsLease) {
+  Pause = LongPause;
+  list(7, LateClock);
+  CHECK_TRUE(order_status::Done == start().Status);
+  CHECK_TRUE(findDeadline() >= LateClock + LeaseAfterPause);
+  CHECK_TRUE(findDeadline() <= LateClock + LeaseAfterPause + getAge());
+}
+
+TEST(RunnerHeartbeats, APauseBeforeARenewalShortensIt) {
+  Pause = LongPause;
+  list(7, LateClock);
+  list(7, LateClock, {.Lease = Lease});
+  CHECK_TRUE(findDeadline() >= LateClock + LeaseAfterPause);
+  CHECK_TRUE(findDeadline() <= LateClock + LeaseAfterPause + getAge());
+}
+
+TEST(RunnerHeartbeats, AStartWhoseLeaseHasPassedIsNotSent) {
+  list(7, LateClock);
+  Calls = 0;
+  Pause = Lease;
+  CHECK_TRUE(order_status::NotReached == start().Status);
+  CHECK_EQUAL(0U, Calls);
+}
+
+TEST(RunnerHeartbeats, AListingAfterItsLeaseHasPassedRenewsNothing) {
+  list(7, LateClock);
+  Pause = Lease;
+  list(7, LateClock, {.Lease = Lease});
+  CHECK_FALSE(findDeadline().has_value());
+}
