Take nothing from a link that was dialled before the entry's present one

What callers would see: a task that runs twice. Cause: the link whose hello came last won. If an entry is reachable under two addresses, the data of the earlier link may arrive after the later one has settled that a task is unknown; its placement then began, while the entry had placed it elsewhere. Change: a link that was dialled before one that has carried a hello of the same entry is closed.

--- a/packages/companion/src/core_implementation.cpp
+++ b/packages/companion/src/core_implementation.cpp
@@ -66,6 +66,13 @@
                 Links.drawPause());
     return;
   }
+  if (Link.Id < Peer->NewestLink) {
+    // What it carries may be older than what the newer link has settled.
+    Links.noteAlias(Link.Address, Peer->Id.Incarnation);
+    Links.close(Step, Link.Id, "the entry has had a newer link",
+                Links.drawPause());
+    return;
+  }
   if (Peer->Link && Links.isBootstrapOnly(Link.Address)) {
     Links.close(Step, Link.Id, "the entry is linked already",
                 Links.drawPause());
@@ -87,6 +94,7 @@
   }
   Link.Entry = Peer.Id.Incarnation;
   Peer.Link = Link.Id;
+  Peer.NewestLink = Link.Id;
   Peer.Address = Link.Address;
   Peer.Gone = false;
   Peer.PushedRevision = 0;
--- a/packages/companion/src/entry_registry.h
+++ b/packages/companion/src/entry_registry.h
@@ -19,6 +19,7 @@
   process_id Id;
   peer_address Address;        ///< Where its latest link was dialled.
   std::optional<link_id> Link; ///< Its one link.
+  link_id NewestLink{};        ///< Dialled last of those that carried a hello.
   instant LinklessSince;
   bool Gone = false;          ///< Without a link for too long, or replaced.
   std::uint64_t Revision = 0; ///< Of its configuration, last heard.
--- a/tests/companion/link_test.cpp
+++ b/tests/companion/link_test.cpp
@@ -280,3 +280,25 @@
   CHECK_TRUE(std::holds_alternative<task_completed>(Ends.front().End));
   CHECK_EQUAL(0U, Driver.countStarts());
 }
+
+// Guards against two runs of one task: a placement that was on its way on an
+// earlier link begins although the entry has been told, on a newer one, that
+// the task is unknown, and has placed it elsewhere.
+TEST(CompanionOrphans, ALinkThatWasDialledBeforeThePresentOneCarriesNothing) {
+  driver Driver;
+  Driver.announce(1);
+  Driver.feed(entries_read{{AddressA, AddressB}});
+  const link_id Earlier = Driver.findDial(AddressA).value();
+  Driver.feed(link_opened{Earlier});
+  const link_id Later =
+      Driver.open(AddressB, EntryA, "entry-a", {resume_request{{makeTask(1)}}});
+  CHECK_EQUAL(1U, Driver.listSent<task_ended>(Later).size());
+  Driver.receive(Later, acknowledge_ends{{makeTask(1)}});
+  Driver.feed(envelope_received{
+      .Link = Earlier,
+      .Messages = {
+          entry_hello{.Entry = {.Name = "entry-a", .Incarnation = EntryA},
+                      .KnownEntries = {AddressA}},
+          resume_request{}, makePlacement(makeTask(1))}});
+  CHECK_EQUAL(0U, Driver.countStarts());
+}
