Let the margin of a lease hold what the platform allows

What callers would see: a task that begins elsewhere while it is still being killed where it ran. Cause: 60 ms were to hold 6.5 ms of a clock that is slow by 2% over the lease, up to 6 ms of the same over the age of the latest listing, 1 ms of rounding and 50 ms for killing: 63.5 ms, before any timer is late. Change: 80 ms. A dead companion's tasks run elsewhere after 820 instead of 800 ms.

--- a/packages/runs/include/crocuswood/runs.h
+++ b/packages/runs/include/crocuswood/runs.h
@@ -45,9 +45,11 @@
   /// A run that is stopped and goes on for longer costs the endpoint its
   /// lease, which ends the run for certain.
   duration StopLimit = std::chrono::milliseconds(100);
-  /// Added to a lease before a run without renewal counts as ended: the
-  /// endpoint's clock may be slow by 2%, and killing takes time.
-  duration LeaseMargin = std::chrono::milliseconds(60);
+  /// Added to a lease before a run without renewal counts as ended: up to 12.5
+  /// ms for an endpoint's clock that is slow by 2%, over the lease and the age
+  /// of the latest listing; 1 ms for rounding; 50 ms for killing; and late
+  /// timers.
+  duration LeaseMargin = std::chrono::milliseconds(80);
 };
 
 // Steps for the caller.
