--- a/tests/runs/supervisor_fixture.h
+++ b/tests/runs/supervisor_fixture.h
@@ -20,6 +20,8 @@
 
 /// Between a step and its effect on the endpoint, and back.
 constexpr duration Trip = milliseconds(1);
+/// Within this after its end, a run that had the longest lease counts as ended.
+constexpr duration HoldMargin = milliseconds(150);
 
 /// A supervisor beside an endpoint, in virtual time. Orders, answers and
 /// listings may be lost.
@@ -177,6 +179,18 @@
     CHECK_TRUE(Supervisor.isReady());
   }
 
+  /// Loses all listings from now on, and waits for the end of the one run.
+  void checkEndIsToldAfterwards() {
+    LosesLists = true;
+    CHECK_EQUAL(1U, Runner.getActive().size());
+    while (!Runner.getActive().empty()) {
+      CHECK_EQUAL(0U, count<companion::run_stopped>());
+      live(milliseconds(10));
+    }
+    live(HoldMargin);
+    CHECK_EQUAL(1U, count<companion::run_stopped>());
+  }
+
   /// Settles, and waits until no order of an earlier life can matter.
   void outliveEarlierLeases() {
     settle();
--- a/tests/runs/supervisor_life_test.cpp
+++ b/tests/runs/supervisor_life_test.cpp
@@ -11,24 +11,10 @@
 
 // An endpoint cuts a longer lease to this, on its own clock.
 constexpr duration LongestHold = milliseconds(1'000);
-// Within this after its end, a run that had the longest lease counts as ended.
-constexpr duration HoldMargin = milliseconds(150);
 
 } // namespace
 
-TEST_GROUP_BASE(SupervisorLives, supervisor_fixture){
-    /// Loses all listings from now on, and waits for the end of the one run.
-    void checkEndIsToldAfterwards(){LosesLists = true;
-CHECK_EQUAL(1U, Runner.getActive().size());
-while (!Runner.getActive().empty()) {
-  CHECK_EQUAL(0U, count<companion::run_stopped>());
-  live(milliseconds(10));
-}
-live(HoldMargin);
-CHECK_EQUAL(1U, count<companion::run_stopped>());
-}
-}
-;
+TEST_GROUP_BASE(SupervisorLives, supervisor_fixture){};
 
 TEST(SupervisorLives, RunsOfAnEarlierLifeAreStoppedFirst) {
   Runner.setRunTime(std::chrono::seconds(30));
