Harm the links between companions and entries in the soak of the sites' interface

Leases end one after another only while a companion works on without its entry, which signals hardly bring about.

One relay for each entry holds links in one or both directions, cuts, loses or delays them, one link or all; up to 16 companions, since the relays share the loop of the runners.

--- a/tests/processes/site_soak_test.py
+++ b/tests/processes/site_soak_test.py
@@ -7,15 +7,16 @@
     --companions N, --entries N                   the number of processes, 8 and 2 if not given
 
 Disruptions come from outside: signals, other writers' heartbeats, late ones, runners that crash,
-pause, are slow or lose answers. They run in series, several at a time, beside clients that keep
-their connections. Judged while it runs: TWICE, LIMIT, answers without the work done (MIXED),
-broken connections of entries that weren't ended (BROKEN), processes that end by themselves (DIED),
-and whether all entries do jobs again within RECOVERY_S of the last disruption (RECOVER). A seed
-that fails keeps its record and logs in a folder, whose name is printed.
+pause, are slow or lose answers, links that are held, cut, lost or slow. They run in series, several
+at a time, beside clients that keep their connections. Judged while it runs: TWICE, LIMIT, answers
+without the work done (MIXED), broken connections of entries that weren't ended (BROKEN), processes
+that end by themselves (DIED), and whether all entries do jobs again within RECOVERY_S of the last
+disruption (RECOVER). A seed that fails keeps its record and logs in a folder, which is printed.
 """
 
 import argparse
 import asyncio
+import gc
 import os
 import random
 import shutil
@@ -34,6 +35,8 @@
 LOAD_S = 1.5
 DISRUPTIONS_S = 7
 MOST_AT_ONCE = 6
+# Relays of more links take the processor that the runners need.
+MOST_RELAYED = 16
 KINDS_OF_A_SEED = (3, 11)
 RECOVERY_S = 10
 DEADLINE_MS = 5000
@@ -131,6 +134,31 @@
         runner.lossy_until = time.monotonic() + span_s
         await asyncio.sleep(span_s)
 
+    async def harm_links(self):
+        """One link of an entry or all, of those now open."""
+        place = self.draw.randrange(len(self.fleet.entries))
+        links, chance = list(self.fleet.relays[place].links), self.draw.random()
+        if links and self.draw.random() < 0.5:
+            links = [links[int(len(links) * self.draw.random())]]
+        mode = self.draw.choice(("hold", "hold", "hold one way", "cut", "lose", "delay"))
+        span_s = self.draw.choice((self.draw.uniform(0.02, 0.9), self.draw.uniform(0.3, 2)))
+        self.add("links", entry=f"edge-{place + 1}", mode=mode, links=len(links), span_s=span_s)
+        self.fleet.entries[place].disturbed = time.monotonic()
+        for link in links:
+            if mode == "cut":
+                link.cut()
+            elif mode == "lose":
+                link.lost = True
+            elif mode == "delay":
+                link.delay_s = 0.02 + 0.13 * chance
+            else:
+                link.hold((0, 1) if mode == "hold" else (int(chance * 2),))
+        await asyncio.sleep(span_s)
+        for link in links:
+            link.delay_s = 0
+            link.release()
+        self.fleet.entries[place].disturbed = time.monotonic()
+
     def claim(self):
         """A daemon to which nothing else happens, or None."""
         daemons = self.draw.choice((self.fleet.entries, self.fleet.companions))
@@ -200,6 +228,8 @@
         kinds = [self.foreign_heartbeats, self.crash_runner, self.hold_heartbeats,
                  self.late_heartbeat, self.pause_runner, self.harm_orders, self.freeze, self.kill,
                  self.stop, self.announce_settings]
+        if self.fleet.relays is not None:
+            kinds += [self.harm_links, self.harm_links]
         return self.draw.sample(kinds, min(len(kinds), self.draw.randint(*KINDS_OF_A_SEED)))
 
     async def play(self, kinds, until):
@@ -255,7 +285,8 @@
 
 async def run(folder, record, seed, options):
     fleet = SiteFleet(folder, record, random.Random(f"{seed} runners"),
-                      companions=options.companions, entries=options.entries)
+                      options.companions <= MOST_RELAYED, companions=options.companions,
+                      entries=options.entries)
     try:
         await asyncio.wait_for(play(fleet, seed), LIMIT_S)
     except (stand_ins.CannotRun, asyncio.TimeoutError) as error:
@@ -266,6 +297,7 @@
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
         await asyncio.sleep(0.05)
+        gc.collect()
     return fleet.judge.faults
 
 
--- a/tests/processes/site_stand_ins.py
+++ b/tests/processes/site_stand_ins.py
@@ -26,6 +26,8 @@
 
     def read(name):
         command, template = read_role(name)
+        if name == "entry":
+            template += '\n{{#advertise}}advertise: "{{advertise}}"{{/advertise}}\n'
         return [f"{build}/programs/crocuswoodd/crocuswoodd"] + command[1:], template
 
     stand_ins.read_role = read
@@ -191,15 +193,88 @@
             record.add("the loop was late", late_s=late_s)
 
 
+class Link:
+    """One relayed connection. Each direction may be held, and the whole be lost for good."""
+
+    def __init__(self, sides):
+        self.sides = sides
+        self.open = [asyncio.Event(), asyncio.Event()]
+        self.release()
+        self.delay_s = 0
+        self.lost = False
+
+    def hold(self, directions):
+        for direction in directions:
+            self.open[direction].clear()
+
+    def release(self):
+        for event in self.open:
+            event.set()
+
+    def cut(self):
+        for _, writer in self.sides:
+            writer.transport.abort()
+
+    async def pump(self, direction):
+        reader, writer = self.sides[direction][0], self.sides[1 - direction][1]
+        try:
+            while data := await reader.read(65536):
+                await asyncio.sleep(self.delay_s)
+                await self.open[direction].wait()
+                if not self.lost:
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        await self.open[direction].wait()
+        # Neither end of a lost connection learns that the other closes.
+        if not self.lost:
+            self.cut()
+
+
+class LinkRelay:
+    """Stands between the companions and one entry."""
+
+    def __init__(self, target):
+        self.target = target
+        self.links = []
+
+    async def serve(self, reader, writer):
+        try:
+            link = Link([(reader, writer), await asyncio.open_connection(*self.target)])
+        except OSError:
+            writer.transport.abort()
+            return
+        self.links.append(link)
+        try:
+            await asyncio.gather(link.pump(0), link.pump(1))
+        finally:
+            self.links.remove(link)
+            link.cut()
+
+
 class SiteFleet(stand_ins.Fleet):
     """A fleet of such runners and daemons whose ends are counted."""
 
-    def __init__(self, folder, record, draw, **options):
+    def __init__(self, folder, record, draw, relayed, **options):
         super().__init__(folder, record, **options)
+        self.relays = [] if relayed else None
         self.judge = SiteJudge(record)
         self.draw = draw
         self.answers = {}
 
+    def fields_of(self, name, host, listen):
+        fields = super().fields_of(name, host, listen)
+        if self.relays is None:
+            return fields
+        if "frontend" in listen:
+            relay = LinkRelay(listen["control_plane"].split(":"))
+            relay.address = f"{host}:{stand_ins.free_port(host)}"
+            asyncio.create_task(asyncio.start_server(relay.serve, *relay.address.split(":")))
+            self.relays.append(relay)
+            return dict(fields, advertise=relay.address)
+        return dict(fields, seeds=[relay.address for relay in self.relays][:3])
+
     async def start(self, configuration):
         plain, stand_ins.Runner = stand_ins.Runner, SlowRunner
         try:
