--- a/tests/processes/site_stand_ins.py
+++ b/tests/processes/site_stand_ins.py
@@ -301,6 +301,7 @@
         self.entry = None
         self.streams = None
         self.ends = 0
+        self.answered = 0  # On this connection.
 
     def fault(self, rule, job, text):
         self.fleet.judge.fault(rule, f"{job} at {self.entry.name}: {text}")
@@ -310,6 +311,7 @@
             self.entry = self.draw.choice(self.fleet.entries)
             self.ends = getattr(self.entry, "ends", 0)
             try:
+                self.answered = 0
                 self.streams = await asyncio.wait_for(
                     asyncio.open_connection(*self.entry.frontend), 2)
             except (OSError, asyncio.TimeoutError):
@@ -328,7 +330,8 @@
                 f"Content-Type: application/json\r\nDeadline-Ms: {deadline_ms}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode()
         if reader._buffer:  # pylint: disable=protected-access
-            self.fault("EXTRA", job, "more than one answer to the request before")
+            self.fault("EXTRA", job, f"after {self.answered} answers on the connection there is "
+                                     f"one more: {bytes(reader._buffer)!r}")
         ended = self.entry
         try:
             writer.write(head + body)
@@ -349,6 +352,7 @@
             if getattr(ended, "ends", 0) == self.ends:
                 self.fault("BROKEN", job, f"the connection broke, {partial} bytes were left")
             return None, "broken"
+        self.answered += 1
         if reply[1].get("connection", "").lower() == "close":
             self.disconnect()
         return int(reply[0].split(" ")[1]), json.loads(reply[2]) if reply[2] else None
