Review: an odd heartbeat shuts the runners' own out after a restart (RECOVER)

Cause: the first announcement of a runner's life counts, whatever service it names, and all that differ from it are dropped until the runner starts anew. Case review/8: another writer's heartbeats with an unknown service beside a kill of all processes. The stand-in runner repeats a heartbeat that failed after 1 s, not 0.2 s.

--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -28,6 +28,7 @@
 DEADLINE_MS = 1500
 RETRANSMIT_MS = 1300
 HEARTBEAT_MS = 1500
+RETRY_S = 1.0  # After a heartbeat without an acknowledgement.
 MAX_HOLD_MS = 1000
 GRACE_S = 6
 CONTACT_MS = 3000
@@ -346,7 +347,7 @@
         while True:
             reply = await self.heartbeat()
             acknowledged = reply is not None and 200 <= reply[0] < 300
-            await asyncio.sleep(HEARTBEAT_MS / 1000 if acknowledged else 0.2)
+            await asyncio.sleep(HEARTBEAT_MS / 1000 if acknowledged else RETRY_S)
 
 
 # Daemons.
