--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,13 +12,14 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import parts_2  # noqa: E402
 
-RATE = 20  # Jobs a second.
+RUNNERS = 14  # One of them is a share of 0.071.
+RATE = 40  # Jobs a second.
 DRAIN_S = 2.0
 SERVES_S = 5.0  # After the acknowledgement: drain_ms, and a little longer.
 
 
 async def case(fleet, trouble):
-    await fleet.start(2, 2)
+    await fleet.start(2, RUNNERS)
     runner = fleet.runners[0]
     draw = random.Random(7)
     jobs = []
